--- /dev/null
+++ b/src/savorystand/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control for service call graphs."""
--- /dev/null
+++ b/src/savorystand/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which calls the own target runs, and when."""
--- /dev/null
+++ b/src/savorystand/call.py
@@ -0,0 +1,93 @@
+"""A call, its context and its answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import IntEnum
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+from typing import final
+
+from expression import Result
+
+from savorystand.verdict import Refusal
+
+if TYPE_CHECKING:
+    from savorystand.tables.route import Route
+
+Headers: TypeAlias = tuple[tuple[str, str], ...]
+
+
+@final
+class Importance(IntEnum):
+    """How late a call is shed; the higher rank goes last."""
+
+    LOW = 0
+    NORMAL = 1
+    HIGH = 2
+    CRITICAL = 3
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CallContext:
+    """What travels with a request through the whole chain.
+
+    ``deadline_ms`` is in the local clock's monotonic milliseconds; on the
+    wire the remaining time is sent, since clocks of nodes differ.
+    ``execution_id`` names the execution, at a target, that made the call; it
+    is empty for callers outside.
+    """
+
+    request_id: str
+    execution_id: str
+    deadline_ms: float
+    retries_left: int
+    importance: Importance
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Call:
+    """One request on its way to a pool. ``path`` includes the query."""
+
+    context: CallContext
+    route: Route
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    key: str = ''
+    to_home: bool = False
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class TargetLoad:
+    """Load of a target as its node reports it.
+
+    ``admitted_rank`` is the lowest importance that is admitted at present,
+    ``expected_ms`` the expected queueing plus service time of a new call.
+    """
+
+    in_flight: int = 0
+    queued: int = 0
+    limit: int = 0
+    admitted_rank: int = 0
+    expected_ms: int = 0
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Answer:
+    """A whole answer of a target."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    retries_left: int = 0
+    load: TargetLoad = field(default_factory=TargetLoad)
+
+
+Outcome: TypeAlias = Result[Answer, Refusal]
--- /dev/null
+++ b/src/savorystand/deduplication/__init__.py
@@ -0,0 +1,1 @@
+"""Runs each non-idempotent request at most once."""
--- /dev/null
+++ b/src/savorystand/deduplication/keys.py
@@ -0,0 +1,77 @@
+"""Keys that nodes issue."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import itertools
+import secrets
+from dataclasses import dataclass
+from typing import final
+
+_PREFIX = 'sk1'
+_SECRET_BYTES = 16
+_CHECK_DIGITS = 16
+_PARTS = 4
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class IssuedKey:
+    """A key that names its home node and its place in the home's sequence."""
+
+    node_id: str
+    sequence: int
+    check: str
+
+    def text(self) -> str:
+        """Return the key as callers carry it."""
+        return f'{_PREFIX}.{self.node_id}.{self.sequence}.{self.check}'
+
+
+def parse_issued(key: str) -> IssuedKey | None:
+    """Return the parts of an issued key; None for a caller's own key."""
+    parts = key.split('.')
+    if len(parts) != _PARTS or parts[0] != _PREFIX:
+        return None
+    if not parts[2].isdecimal():
+        return None
+    return IssuedKey(
+        node_id=parts[1],
+        sequence=int(parts[2]),
+        check=parts[3],
+    )
+
+
+class KeyIssuer:
+    """Issues keys bound to one life of one node."""
+
+    __slots__ = ('_node_id', '_secret', '_sequences')
+
+    def __init__(self, *, node_id: str) -> None:
+        """Draw the secret that marks the keys of this life."""
+        self._node_id = node_id
+        self._secret = secrets.token_bytes(_SECRET_BYTES)
+        self._sequences = itertools.count(1)
+
+    def issue(self) -> str:
+        """Return a key that was never issued before."""
+        sequence = next(self._sequences)
+        return IssuedKey(
+            node_id=self._node_id,
+            sequence=sequence,
+            check=self._check(sequence),
+        ).text()
+
+    def verify(self, key: IssuedKey) -> bool:
+        """Return True if this issuer issued the key."""
+        if key.node_id != self._node_id:
+            return False
+        return hmac.compare_digest(
+            key.check.encode(),
+            self._check(key.sequence).encode(),
+        )
+
+    def _check(self, sequence: int) -> str:
+        digest = hmac.new(self._secret, str(sequence).encode(), hashlib.sha256)
+        return digest.hexdigest()[:_CHECK_DIGITS]
--- /dev/null
+++ b/src/savorystand/deduplication/ledger.py
@@ -0,0 +1,233 @@
+"""What the home node remembers of the keys bound to it."""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+from collections import OrderedDict
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+from typing import final
+
+import anyio
+from expression import Error
+from expression import Result
+
+from savorystand.verdict import MayHaveRun
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+
+if TYPE_CHECKING:
+    from savorystand.call import Call
+    from savorystand.call import Outcome
+    from savorystand.deduplication.keys import IssuedKey
+
+# Keys remembered by one node; the oldest finished ones go first.
+MAX_RECORDS = 20000
+# Bound on the bodies of all answers that are kept for replay.
+MAX_KEPT_BYTES = 8388608
+_FINGERPRINT_BYTES = 16
+_ATTEMPT_BYTES = 8
+
+
+@final
+@dataclass(slots=True, kw_only=True)
+class Run:
+    """One attempt to serve a request; ``done`` is set with its outcome."""
+
+    outcome: Outcome | None = None
+    done: anyio.Event = field(default_factory=anyio.Event)
+
+
+@final
+@dataclass(slots=True, kw_only=True)
+class KeyRecord:
+    """One key and the run of its request, if there is or was one.
+
+    ``attempt`` identifies the claim on a caller's own key: a row that carries
+    it was inserted for this record and for no other.
+    """
+
+    key: str
+    sequence: int
+    mark: bytes
+    attempt: str = ''
+    run: Run | None = None
+
+    def idle(self) -> bool:
+        """Return True if no run is in progress."""
+        return self.run is None or self.run.done.is_set()
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RunNow:
+    """The request has not run: the caller of ``begin`` runs it."""
+
+    record: KeyRecord
+    run: Run
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class AwaitRun:
+    """The request runs at the moment: wait for its outcome."""
+
+    run: Run
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Decided:
+    """The outcome is known without running anything."""
+
+    outcome: Outcome
+
+
+Decision: TypeAlias = RunNow | AwaitRun | Decided
+
+
+def fingerprint(call: Call) -> bytes:
+    """Return a hash that tells different requests under one key apart."""
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    digest.update(f'{call.method} {call.path}\n'.encode())
+    digest.update(call.body)
+    return digest.digest()
+
+
+class KeyLedger:
+    """Bounded memory of keys; what it drops is never run again."""
+
+    __slots__ = (
+        '_kept_bytes',
+        '_low_water',
+        '_max_records',
+        '_records',
+        '_running',
+    )
+
+    def __init__(self, *, max_records: int = MAX_RECORDS) -> None:
+        """Start empty, as the home of no key."""
+        self._max_records = max_records
+        self._records: OrderedDict[str, KeyRecord] = OrderedDict()
+        self._low_water = 0
+        self._kept_bytes = 0
+        self._running = 0
+
+    def __len__(self) -> int:
+        """Return the number of keys remembered."""
+        return len(self._records)
+
+    def running(self) -> int:
+        """Return the number of requests that run at the moment."""
+        return self._running
+
+    def has_run(self, key: str) -> bool:
+        """Return True if a run of the key's request is remembered."""
+        record = self._records.get(key)
+        return record is not None and record.run is not None
+
+    def bind(self, key: str, mark: bytes) -> str:
+        """Remember a caller's own key and return the id of its claim.
+
+        The id stays the same until the record is dropped, so that a claim
+        whose answer was lost can be recognised and repeated.
+        """
+        record = self._records.get(key)
+        if record is None:
+            record = KeyRecord(
+                key=key,
+                sequence=0,
+                mark=mark,
+                attempt=secrets.token_hex(_ATTEMPT_BYTES),
+            )
+            self._add(record)
+        return record.attempt
+
+    def release(self, key: str) -> None:
+        """Forget a caller's own key that turned out to have another home."""
+        record = self._records.get(key)
+        if record is not None and record.run is None:
+            self._drop(record)
+
+    def begin_issued(self, key: IssuedKey, mark: bytes) -> Decision:
+        """Decide on a request whose key this node has issued."""
+        record = self._records.get(key.text())
+        if record is not None:
+            return self._decide(record, mark)
+        if key.sequence < self._low_water:
+            return Decided(outcome=_forgotten())
+        record = KeyRecord(key=key.text(), sequence=key.sequence, mark=mark)
+        decision = self._decide(record, mark)
+        self._add(record)
+        return decision
+
+    def begin_own(self, key: str, mark: bytes) -> Decision:
+        """Decide on a request whose claim names this node as its home."""
+        record = self._records.get(key)
+        if record is None:
+            return Decided(outcome=_forgotten())
+        return self._decide(record, mark)
+
+    def complete(self, now: RunNow, outcome: Outcome) -> None:
+        """Record how a run ended.
+
+        After ``NotRun`` the key may be run again; any other outcome is final.
+        """
+        self._running -= 1
+        match outcome:
+            case Result(tag='error', error=NotRun()):
+                now.record.run = None
+            case _:
+                self._kept_bytes += _size(outcome)
+        now.run.outcome = outcome
+        now.run.done.set()
+        self._evict()
+
+    def _decide(self, record: KeyRecord, mark: bytes) -> Decision:
+        if record.mark != mark:
+            return Decided(outcome=Error(NotRun(reason=Reason.KEY_REUSED)))
+        if record.run is None:
+            record.run = Run()
+            self._running += 1
+            return RunNow(record=record, run=record.run)
+        if record.run.outcome is None:
+            return AwaitRun(run=record.run)
+        return Decided(outcome=record.run.outcome)
+
+    def _add(self, record: KeyRecord) -> None:
+        self._records.setdefault(record.key, record)
+        self._evict()
+
+    def _evict(self) -> None:
+        while self._over_bounds():
+            idle = (rec for rec in self._records.values() if rec.idle())
+            oldest = next(idle, None)
+            if oldest is None:
+                return
+            self._drop(oldest)
+
+    def _over_bounds(self) -> bool:
+        if len(self._records) > self._max_records:
+            return True
+        return self._kept_bytes > MAX_KEPT_BYTES
+
+    def _drop(self, record: KeyRecord) -> None:
+        del self._records[record.key]
+        self._low_water = max(self._low_water, record.sequence + 1)
+        if record.run is not None and record.run.outcome is not None:
+            self._kept_bytes -= _size(record.run.outcome)
+
+
+def _forgotten() -> Outcome:
+    return Error(MayHaveRun(reason=Reason.FORGOTTEN))
+
+
+def _size(outcome: Outcome) -> int:
+    match outcome:
+        case Result(tag='ok', ok=answer):
+            return len(answer.body)
+        case _:
+            return 0
--- /dev/null
+++ b/src/savorystand/deduplication/runner.py
@@ -0,0 +1,197 @@
+"""Runs requests under their idempotency keys."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+import anyio
+from expression import Error
+from expression import Result
+
+from savorystand.call import Call
+from savorystand.call import Outcome
+from savorystand.clock import MS_PER_SECOND
+from savorystand.clock import Clock
+from savorystand.deduplication.claims import Claimed
+from savorystand.deduplication.claims import ClaimService
+from savorystand.deduplication.claims import HeldElsewhere
+from savorystand.deduplication.claims import Unresolved
+from savorystand.deduplication.keys import IssuedKey
+from savorystand.deduplication.keys import KeyIssuer
+from savorystand.deduplication.keys import parse_issued
+from savorystand.deduplication.ledger import AwaitRun
+from savorystand.deduplication.ledger import Decided
+from savorystand.deduplication.ledger import Decision
+from savorystand.deduplication.ledger import KeyLedger
+from savorystand.deduplication.ledger import Run
+from savorystand.deduplication.ledger import RunNow
+from savorystand.deduplication.ledger import fingerprint
+from savorystand.kernel.service import Service
+from savorystand.membership.directory import Directory
+from savorystand.membership.member import MemberState
+from savorystand.transport.caller import PeerCaller
+from savorystand.verdict import MayHaveRun
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+    from anyio.abc import TaskStatus
+
+    from savorystand.kernel.kernel import Kernel
+
+Attempts: TypeAlias = Callable[[Call], Awaitable[Outcome]]
+
+_DRAIN_POLL_MS = 20
+
+
+class KeyedRunner(Service):
+    """Home of keys: runs each request once and replays its outcome."""
+
+    __slots__ = (
+        '_attempts',
+        '_clock',
+        '_kernel',
+        '_ledger',
+        '_node_id',
+        '_tasks',
+        'issuer',
+    )
+
+    def __init__(
+        self,
+        *,
+        kernel: Kernel,
+        node_id: str,
+        attempts: Attempts,
+        ledger: KeyLedger,
+    ) -> None:
+        """Run requests with ``attempts``, which tries targets in turn."""
+        self._kernel = kernel
+        self._clock = kernel.find('clock', Clock)
+        self._node_id = node_id
+        self._attempts = attempts
+        self._ledger = ledger
+        self._tasks: TaskGroup | None = None
+        self.issuer = KeyIssuer(node_id=node_id)
+
+    async def run(self, *, task_status: TaskStatus[None]) -> None:
+        """Host the runs, which outlive the callers that wait for them."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            task_status.started()
+            await anyio.sleep_forever()
+
+    async def drain(self) -> None:
+        """Wait for all runs; each ends by its own deadline."""
+        while self._ledger.running():
+            await self._clock.sleep(_DRAIN_POLL_MS)
+
+    async def call(self, call: Call) -> Outcome:
+        """Serve a request that entered at this node with a key."""
+        issued = parse_issued(call.key)
+        if issued is None:
+            return await self._call_own(call)
+        if issued.node_id == self._node_id:
+            return await self._serve_issued(call, issued)
+        return await self._forward(call, issued.node_id)
+
+    async def serve_home(self, call: Call) -> Outcome:
+        """Serve a request that a peer forwarded, as the home of its key."""
+        issued = parse_issued(call.key)
+        if issued is None:
+            mark = fingerprint(call)
+            return await self._follow(
+                call,
+                self._ledger.begin_own(call.key, mark),
+            )
+        return await self._serve_issued(call, issued)
+
+    async def _serve_issued(self, call: Call, key: IssuedKey) -> Outcome:
+        if not self.issuer.verify(key):
+            detail = 'the key was not issued by this node'
+            return Error(NotRun(reason=Reason.KEY_REQUIRED, detail=detail))
+        decision = self._ledger.begin_issued(key, fingerprint(call))
+        return await self._follow(call, decision)
+
+    async def _call_own(self, call: Call) -> Outcome:
+        mark = fingerprint(call)
+        if self._ledger.has_run(call.key):
+            return await self._follow(
+                call,
+                self._ledger.begin_own(call.key, mark),
+            )
+        attempt = self._ledger.bind(call.key, mark)
+        claims = self._kernel.find('claims', ClaimService)
+        match await claims.claim(call.key, attempt):
+            case Claimed():
+                decision = self._ledger.begin_own(call.key, mark)
+                return await self._follow(call, decision)
+            case HeldElsewhere(node_id=home) if home == self._node_id:
+                # Bound here by a claim of which no record is left.
+                self._ledger.release(call.key)
+                return Error(MayHaveRun(reason=Reason.FORGOTTEN))
+            case HeldElsewhere(node_id=home):
+                self._ledger.release(call.key)
+                return await self._forward(call, home)
+            case Unresolved(detail=detail):
+                # Nothing was dispatched, and only this node may do so under
+                # the claim if it stands.
+                reason = Reason.STORE_UNAVAILABLE
+                return Error(NotRun(reason=reason, detail=detail))
+
+    async def _forward(self, call: Call, home: str) -> Outcome:
+        directory = self._kernel.find('membership', Directory)
+        member = directory.lookup(home)
+        if member is None or member.state == MemberState.DEAD:
+            return Error(MayHaveRun(reason=Reason.HOME_LOST, detail=home))
+        caller = self._kernel.find('peers', PeerCaller)
+        outcome = await caller.call(member.peer, replace(call, to_home=True))
+        match outcome:
+            case Result(
+                tag='error',
+                error=NotRun(reason=Reason.CONNECTION_LOST),
+            ):
+                # The home did not see this attempt, but may have run the key
+                # for an earlier one.
+                return Error(MayHaveRun(reason=Reason.HOME_LOST, detail=home))
+            case _:
+                return outcome
+
+    async def _follow(self, call: Call, decision: Decision) -> Outcome:
+        match decision:
+            case Decided(outcome=outcome):
+                return outcome
+            case AwaitRun(run=run):
+                return await self._wait(call, run)
+            case RunNow(run=run):
+                self._start(call, decision)
+                return await self._wait(call, run)
+
+    def _start(self, call: Call, now: RunNow) -> None:
+        if self._tasks is None:
+            stopping = NotRun(reason=Reason.DRAINING)
+            self._ledger.complete(now, Error(stopping))
+            return
+        self._tasks.start_soon(self._run_once, call, now)
+
+    async def _run_once(self, call: Call, now: RunNow) -> None:
+        # Runs to its end even when the caller hangs up: the caller's retry
+        # then gets the answer.
+        outcome: Outcome = Error(MayHaveRun(reason=Reason.CANCELLED))
+        try:
+            outcome = await self._attempts(call)
+        finally:
+            self._ledger.complete(now, outcome)
+
+    async def _wait(self, call: Call, run: Run) -> Outcome:
+        left_ms = call.context.deadline_ms - self._clock.now()
+        with anyio.move_on_after(max(0, left_ms) / MS_PER_SECOND):
+            await run.done.wait()
+        if run.outcome is None:
+            return Error(MayHaveRun(reason=Reason.DEADLINE))
+        return run.outcome
--- /dev/null
+++ b/src/savorystand/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Joins the decisions on a call: route, key, attempts, admission."""
--- /dev/null
+++ b/src/savorystand/dispatch/inbound.py
@@ -0,0 +1,88 @@
+"""Serves calls that are meant for the own target."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from savorystand.admission.queue import AdmissionQueue
+from savorystand.admission.queue import Permit
+from savorystand.deduplication.runner import KeyedRunner
+from savorystand.gateway.target import TargetSender
+from savorystand.retry.executions import Execution
+from savorystand.retry.executions import ExecutionLedger
+from savorystand.tables.holder import TableHolder
+
+if TYPE_CHECKING:
+    from savorystand.call import Call
+    from savorystand.call import Outcome
+    from savorystand.call import TargetLoad
+    from savorystand.kernel.kernel import Kernel
+    from savorystand.tables.route import Route
+
+
+class Inbound:
+    """Admits a call, runs it at the target and accounts for its budget."""
+
+    __slots__ = ('_admission', '_executions', '_kernel')
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        """Find admission, executions and target in ``kernel``."""
+        self._kernel = kernel
+        self._admission = kernel.find('admission', AdmissionQueue)
+        self._executions = kernel.find('executions', ExecutionLedger)
+
+    def route(self, name: str) -> Route | None:
+        """Return the route of that name in the tables in force."""
+        return self._kernel.find('tables', TableHolder).current().route(name)
+
+    def load(self) -> TargetLoad:
+        """Return the present load of the own target."""
+        return self._admission.load()
+
+    async def serve(self, call: Call) -> Outcome:
+        """Serve a call; cancellation means that the caller is gone."""
+        if call.to_home:
+            keys = self._kernel.find('keys', KeyedRunner)
+            return await keys.serve_home(call)
+        match await self._admission.admit(call):
+            case Result(tag='ok', ok=permit):
+                return await self._run(call, permit)
+            case Result(error=refusal):
+                # Nothing ran, so nothing of the lent budget was spent.
+                left = call.context.retries_left
+                return Error(replace(refusal, retries_left=left))
+
+    async def _run(self, call: Call, permit: Permit) -> Outcome:
+        execution = self._executions.open(call.context)
+        whole = False
+        try:
+            outcome = await self._send(call, execution)
+            whole = outcome.is_ok()
+        finally:
+            self._executions.close(execution)
+            self._admission.release(permit, whole=whole)
+        return self._settle(outcome, execution)
+
+    async def _send(self, call: Call, execution: Execution) -> Outcome:
+        target = self._kernel.find('target', TargetSender)
+        return await target.send(call, execution.execution_id)
+
+    def _settle(self, outcome: Outcome, execution: Execution) -> Outcome:
+        left = execution.retries_left
+        match outcome:
+            case Result(tag='ok', ok=answer):
+                load = self._admission.load()
+                return Ok(replace(answer, retries_left=left, load=load))
+            case Result(error=refusal):
+                below = refusal.from_below or execution.failed_below
+                settled = replace(
+                    refusal,
+                    retries_left=left,
+                    from_below=below,
+                )
+                return Error(settled)
--- /dev/null
+++ b/src/savorystand/dispatch/local.py
@@ -0,0 +1,33 @@
+"""Calls to peers, with a short cut to the own target."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorystand.transport.inbound import InboundHandler
+from savorystand.transport.peers import PeerTransport
+
+if TYPE_CHECKING:
+    from savorystand.call import Call
+    from savorystand.call import Outcome
+    from savorystand.kernel.kernel import Kernel
+    from savorystand.transport.address import PeerAddress
+
+
+class LocalOrRemote:
+    """Serves calls to this node directly and sends the others."""
+
+    __slots__ = ('_kernel', '_node_id')
+
+    def __init__(self, *, kernel: Kernel, node_id: str) -> None:
+        """Treat calls to ``node_id`` as local."""
+        self._kernel = kernel
+        self._node_id = node_id
+
+    async def call(self, peer: PeerAddress, call: Call) -> Outcome:
+        """Make a call to a peer or to the own target."""
+        if peer.node_id == self._node_id:
+            inbound = self._kernel.find('inbound', InboundHandler)
+            return await inbound.serve(call)
+        transport = self._kernel.find('transport', PeerTransport)
+        return await transport.call(peer, call)
--- /dev/null
+++ b/src/savorystand/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers, the own target and operators."""
--- /dev/null
+++ b/src/savorystand/gateway/admin.py
@@ -0,0 +1,119 @@
+"""Endpoints under ``/savorystand/``."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+from urllib.parse import parse_qs
+from urllib.parse import urlsplit
+
+from savorystand.deduplication.runner import KeyedRunner
+from savorystand.gateway.asgi import Reply
+from savorystand.gateway.asgi import json_reply
+from savorystand.gateway.headers import header
+from savorystand.membership.directory import Directory
+
+if TYPE_CHECKING:
+    from savorystand.call import Headers
+    from savorystand.kernel.kernel import Kernel
+
+Query: TypeAlias = dict[str, list[str]]
+Endpoint: TypeAlias = Callable[[Query], Reply]
+
+_MAX_KEYS = 1000
+_NO_CONTENT = 204
+_BAD_REQUEST = 400
+_UNAUTHORIZED = 401
+_FORBIDDEN = 403
+_NOT_FOUND = 404
+
+
+class AdminEndpoints:
+    """Announcements, key issue, health, status and reports."""
+
+    __slots__ = ('_admin_key', '_kernel', '_open', '_protected')
+
+    def __init__(self, *, kernel: Kernel, admin_key: str) -> None:
+        """Ask for ``admin_key`` as bearer token on protected endpoints."""
+        self._kernel = kernel
+        self._admin_key = admin_key
+        self._open: dict[str, Endpoint] = {
+            'POST /savorystand/keys': self._issue_keys,
+            'GET /savorystand/healthz': self._health,
+        }
+        self._protected: dict[str, Endpoint] = {}
+
+    def protect(self, name: str, endpoint: Endpoint) -> None:
+        """Add an endpoint, such as ``GET /savorystand/status``."""
+        self._protected[name] = endpoint
+
+    async def serve(
+        self,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+        *,
+        from_target: bool,
+    ) -> Reply:
+        """Serve one request below ``/savorystand/``."""
+        parts = urlsplit(path)
+        name = f'{method} {parts.path}'
+        query = parse_qs(parts.query)
+        endpoint = self._open.get(name)
+        if endpoint is not None:
+            return endpoint(query)
+        endpoint = self._protected.get(name)
+        if endpoint is not None and self._authorized(headers):
+            return endpoint(query)
+        if endpoint is not None:
+            return json_reply({'error': 'key'}, status=_UNAUTHORIZED)
+        return self._serve_target(name, query, from_target=from_target)
+
+    def _serve_target(
+        self,
+        name: str,
+        query: Query,
+        *,
+        from_target: bool,
+    ) -> Reply:
+        directory = self._kernel.find('membership', Directory)
+        match name:
+            case 'POST /savorystand/announce' | 'POST /savorystand/leave' if (
+                not from_target
+            ):
+                return json_reply({'error': 'not local'}, status=_FORBIDDEN)
+            case 'POST /savorystand/announce':
+                return _announce(directory, query)
+            case 'POST /savorystand/leave':
+                directory.leave()
+                return Reply(status=_NO_CONTENT)
+            case _:
+                return json_reply({'error': name}, status=_NOT_FOUND)
+
+    def _authorized(self, headers: Headers) -> bool:
+        given = header(headers, 'authorization').encode()
+        wanted = f'Bearer {self._admin_key}'.encode()
+        return hmac.compare_digest(given, wanted)
+
+    def _issue_keys(self, query: Query) -> Reply:
+        text = query.get('count', ['1'])[0]
+        if not text.isdecimal() or not 0 < int(text) <= _MAX_KEYS:
+            detail = f'count must be from 1 to {_MAX_KEYS}'
+            return json_reply({'error': detail}, status=_BAD_REQUEST)
+        issuer = self._kernel.find('keys', KeyedRunner).issuer
+        keys = [issuer.issue() for _ in range(int(text))]
+        return json_reply({'keys': keys})
+
+    def _health(self, query: Query) -> Reply:
+        return json_reply({'status': 'ok'})
+
+
+def _announce(directory: Directory, query: Query) -> Reply:
+    pool = query.get('pool', [''])[0]
+    if not pool:
+        return json_reply({'error': 'pool missing'}, status=_BAD_REQUEST)
+    directory.announce(pool)
+    return Reply(status=_NO_CONTENT)
--- /dev/null
+++ b/src/savorystand/gateway/application.py
@@ -0,0 +1,239 @@
+"""The ASGI application that takes calls from callers and the own target."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+from typing import final
+
+import anyio
+from expression import Error
+from expression import Result
+
+from savorystand.call import Answer
+from savorystand.call import Call
+from savorystand.call import CallContext
+from savorystand.call import Outcome
+from savorystand.clock import Clock
+from savorystand.deduplication.runner import KeyedRunner
+from savorystand.dispatch.dispatcher import Dispatcher
+from savorystand.gateway import headers as names
+from savorystand.gateway.admin import AdminEndpoints
+from savorystand.gateway.asgi import Receive
+from savorystand.gateway.asgi import Reply
+from savorystand.gateway.asgi import RequestAbortedError
+from savorystand.gateway.asgi import RequestTooLargeError
+from savorystand.gateway.asgi import Scope
+from savorystand.gateway.asgi import Send
+from savorystand.gateway.asgi import request_body
+from savorystand.gateway.asgi import request_headers
+from savorystand.gateway.asgi import request_path
+from savorystand.gateway.asgi import send_reply
+from savorystand.gateway.contexts import ContextFactory
+from savorystand.gateway.contexts import Request
+from savorystand.gateway.refusals import refusal_body
+from savorystand.gateway.refusals import retry_after
+from savorystand.gateway.refusals import status_of
+from savorystand.retry.executions import Execution
+from savorystand.retry.executions import ExecutionLedger
+from savorystand.tables.holder import TableHolder
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+from savorystand.verdict import Refusal
+from savorystand.verdict import verdict_name
+
+if TYPE_CHECKING:
+    from savorystand.kernel.kernel import Kernel
+    from savorystand.tables.route import Route
+
+_ADMIN_PREFIX = '/savorystand/'
+_OFFERS_KEY = frozenset((Reason.KEY_REQUIRED, Reason.STORE_UNAVAILABLE))
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class FromCallers:
+    """The listener for callers outside the system."""
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class FromTarget:
+    """The loopback listener for the own target."""
+
+
+Origin: TypeAlias = FromCallers | FromTarget
+
+
+class HttpApplication:
+    """Turns HTTP requests of one listener into calls."""
+
+    __slots__ = ('_admin', '_clock', '_contexts', '_kernel', '_origin')
+
+    def __init__(self, *, kernel: Kernel, origin: Origin) -> None:
+        """Serve requests that come from ``origin``."""
+        self._kernel = kernel
+        self._clock = kernel.find('clock', Clock)
+        self._origin = origin
+        self._contexts = ContextFactory(kernel=kernel)
+        self._admin = kernel.find('admin', AdminEndpoints)
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one request (ASGI version 3)."""
+        if scope['type'] != 'http':
+            return
+        async with anyio.create_task_group() as tasks:
+            try:
+                request = await self._read(scope, receive)
+            except RequestAbortedError:
+                return
+            except RequestTooLargeError as exc:
+                refusal = NotRun(reason=Reason.TOO_LARGE, detail=str(exc))
+                await send_reply(send, self._refusal(refusal, ''))
+                return
+            # A caller that hangs up cancels the work done for it.
+            tasks.start_soon(_cancel_on_disconnect, receive, tasks)
+            await send_reply(send, await self._serve(request))
+            tasks.cancel_scope.cancel()
+
+    async def _read(self, scope: Scope, receive: Receive) -> Request:
+        received_ms = self._clock.now()
+        return Request(
+            method=scope['method'],
+            path=request_path(scope),
+            headers=request_headers(scope),
+            body=await request_body(receive),
+            received_ms=received_ms,
+        )
+
+    async def _serve(self, request: Request) -> Reply:
+        if request.path.startswith(_ADMIN_PREFIX):
+            from_target = isinstance(self._origin, FromTarget)
+            return await self._admin.serve(
+                request.method,
+                request.path,
+                request.headers,
+                request.body,
+                from_target=from_target,
+            )
+        tables = self._kernel.find('tables', TableHolder).current()
+        route = tables.match(request.method, request.path)
+        if route is None:
+            detail = f'{request.method} {request.path}'
+            refusal = NotRun(reason=Reason.NO_ROUTE, detail=detail)
+            return self._refusal(refusal, '')
+        return await self._serve_route(request, route)
+
+    async def _serve_route(self, request: Request, route: Route) -> Reply:
+        match self._origin:
+            case FromCallers():
+                context = self._contexts.entry(request, route)
+                outcome = await self._dispatch(request, route, context)
+            case FromTarget():
+                context, outcome = await self._serve_target(request, route)
+        match outcome:
+            case Result(tag='ok', ok=answer):
+                return _answer(answer, context)
+            case Result(error=refusal):
+                return self._refusal(refusal, context.request_id)
+
+    async def _serve_target(
+        self,
+        request: Request,
+        route: Route,
+    ) -> tuple[CallContext, Outcome]:
+        text = names.header(request.headers, names.CONTEXT)
+        if not text:
+            context = self._contexts.without_retries(request, route)
+            return context, await self._dispatch(request, route, context)
+        ledger = self._kernel.find('executions', ExecutionLedger)
+        execution = ledger.find(names.execution_of(text))
+        if execution is None:
+            context = self._contexts.without_retries(request, route)
+            ended = NotRun(
+                reason=Reason.CANCELLED,
+                detail='the execution that makes this call has ended',
+            )
+            return context, Error(ended)
+        context = self._contexts.inherited(request, route, execution)
+        outcome = await self._dispatch(request, route, context)
+        _settle(ledger, execution, outcome)
+        return context, outcome
+
+    async def _dispatch(
+        self,
+        request: Request,
+        route: Route,
+        context: CallContext,
+    ) -> Outcome:
+        dispatcher = self._kernel.find('dispatcher', Dispatcher)
+        return await dispatcher.call(
+            Call(
+                context=context,
+                route=route,
+                method=request.method,
+                path=request.path,
+                headers=names.forwarded(request.headers),
+                body=request.body,
+                key=names.header(request.headers, names.IDEMPOTENCY_KEY),
+            ),
+        )
+
+    def _refusal(self, refusal: Refusal, request_id: str) -> Reply:
+        status = status_of(refusal)
+        headers = [
+            ('content-type', 'application/json'),
+            (names.VERDICT, verdict_name(refusal)),
+            (names.REQUEST_ID, request_id),
+        ]
+        if status in {429, 503}:
+            headers.append((names.RETRY_AFTER, retry_after(refusal)))
+        if refusal.reason in _OFFERS_KEY:
+            issuer = self._kernel.find('keys', KeyedRunner).issuer
+            headers.append((names.IDEMPOTENCY_KEY, issuer.issue()))
+        return Reply(
+            status=status,
+            headers=tuple(headers),
+            body=refusal_body(refusal, request_id),
+        )
+
+
+async def _cancel_on_disconnect(
+    receive: Receive,
+    tasks: anyio.abc.TaskGroup,
+) -> None:
+    message = await receive()
+    if message['type'] == 'http.disconnect':
+        tasks.cancel_scope.cancel()
+
+
+def _answer(answer: Answer, context: CallContext) -> Reply:
+    own = (
+        (names.VERDICT, 'answered'),
+        (names.REQUEST_ID, context.request_id),
+    )
+    return Reply(
+        status=answer.status,
+        headers=names.forwarded(answer.headers) + own,
+        body=answer.body,
+    )
+
+
+def _settle(
+    ledger: ExecutionLedger,
+    execution: Execution,
+    outcome: Outcome,
+) -> None:
+    match outcome:
+        case Result(tag='ok', ok=answer):
+            left = answer.retries_left
+        case Result(error=refusal):
+            left = refusal.retries_left
+    ledger.settle(
+        execution.execution_id,
+        returned=left,
+        failed=outcome.is_error(),
+    )
--- /dev/null
+++ b/src/savorystand/gateway/contexts.py
@@ -0,0 +1,100 @@
+"""Contexts of the calls that enter at this node."""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import final
+
+from savorystand.call import CallContext
+from savorystand.call import Headers
+from savorystand.gateway import headers as names
+from savorystand.retry.executions import Execution
+from savorystand.retry.executions import ExecutionLedger
+from savorystand.retry.policy import RetryPolicy
+
+if TYPE_CHECKING:
+    from savorystand.kernel.kernel import Kernel
+    from savorystand.tables.route import Route
+
+# Deadline of a call that brings none, and the longest that is accepted.
+DEFAULT_DEADLINE_MS = 10000
+MAX_DEADLINE_MS = 120000
+_ID_BYTES = 8
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Request:
+    """One HTTP request; ``received_ms`` is when its headers had arrived."""
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    received_ms: float
+
+
+class ContextFactory:
+    """Derives a call's context from its request and where it came from."""
+
+    __slots__ = ('_kernel',)
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        """Find retry policy and executions in ``kernel``."""
+        self._kernel = kernel
+
+    def entry(self, request: Request, route: Route) -> CallContext:
+        """Return the context of a call from outside the system."""
+        policy = self._kernel.find('retry', RetryPolicy)
+        request_id = names.header(request.headers, names.REQUEST_ID)
+        return CallContext(
+            request_id=request_id or secrets.token_hex(_ID_BYTES),
+            execution_id='',
+            deadline_ms=request.received_ms + _deadline(request.headers),
+            retries_left=policy.entry_retries(),
+            importance=route.importance,
+        )
+
+    def without_retries(self, request: Request, route: Route) -> CallContext:
+        """Return the context of a target's call that passes on none.
+
+        Such a call gets no retries of its own, so that retries stay bounded
+        end to end when services drop the context header.
+        """
+        return CallContext(
+            request_id=secrets.token_hex(_ID_BYTES),
+            execution_id='',
+            deadline_ms=request.received_ms + _deadline(request.headers),
+            retries_left=0,
+            importance=route.importance,
+        )
+
+    def inherited(
+        self,
+        request: Request,
+        route: Route,
+        execution: Execution,
+    ) -> CallContext:
+        """Return the context of a call that an execution makes.
+
+        It borrows the execution's whole retry budget; the caller settles it.
+        """
+        ledger = self._kernel.find('executions', ExecutionLedger)
+        own_deadline_ms = request.received_ms + _deadline(request.headers)
+        parent = execution.context
+        return CallContext(
+            request_id=parent.request_id,
+            execution_id=execution.execution_id,
+            deadline_ms=min(parent.deadline_ms, own_deadline_ms),
+            retries_left=ledger.lend(execution.execution_id),
+            importance=max(parent.importance, route.importance),
+        )
+
+
+def _deadline(headers: Headers) -> int:
+    text = names.header(headers, names.DEADLINE)
+    if not text.isdecimal():
+        return DEFAULT_DEADLINE_MS
+    return min(int(text), MAX_DEADLINE_MS)
--- /dev/null
+++ b/src/savorystand/gateway/headers.py
@@ -0,0 +1,59 @@
+"""Header names and values of the HTTP interface."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from savorystand.call import CallContext
+    from savorystand.call import Headers
+
+IDEMPOTENCY_KEY = 'idempotency-key'
+DEADLINE = 'savorystand-deadline'
+CONTEXT = 'savorystand-context'
+VERDICT = 'savorystand-verdict'
+RETRY_AFTER = 'retry-after'
+REQUEST_ID = 'savorystand-request-id'
+
+# Headers that belong to one connection (RFC 9110, section 7.6.1) or that the
+# node sets itself.
+_NOT_FORWARDED = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        DEADLINE,
+        CONTEXT,
+        VERDICT,
+    )
+)
+
+
+def forwarded(headers: Headers) -> Headers:
+    """Return the headers that travel end to end."""
+    return tuple(pair for pair in headers if pair[0] not in _NOT_FORWARDED)
+
+
+def header(headers: Headers, name: str) -> str:
+    """Return the first value of a header, or an empty string."""
+    return next((text for key, text in headers if key == name), '')
+
+
+def format_context(context: CallContext, execution_id: str) -> str:
+    """Return the context header for an execution at a target."""
+    retries = context.retries_left
+    rank = int(context.importance)
+    return f'{context.request_id};{execution_id};{retries};{rank}'
+
+
+def execution_of(context_header: str) -> str:
+    """Return the execution id of a context header, empty if malformed."""
+    parts = context_header.split(';')
+    return parts[1] if len(parts) > 1 else ''
--- /dev/null
+++ b/src/savorystand/gateway/server.py
@@ -0,0 +1,83 @@
+"""HTTP listeners of a node."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from typing import TYPE_CHECKING
+
+import anyio
+from uvicorn import Config
+from uvicorn import Server
+
+from savorystand.kernel.service import Service
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
+    from anyio.abc import TaskStatus
+
+    from savorystand.gateway.application import HttpApplication
+
+_STARTED_POLL_SECONDS = 0.005
+
+
+class _Server(Server):
+    @contextlib.contextmanager
+    def capture_signals(self) -> Generator[None, None, None]:
+        # Signals belong to the process, not to one of its listeners.
+        yield
+
+
+class HttpListener(Service):
+    """One listener; ``uvicorn`` runs a task for each connection."""
+
+    __slots__ = ('_app', '_host', '_port', '_server')
+
+    def __init__(self, *, app: HttpApplication, host: str, port: int) -> None:
+        """Serve ``app`` on ``host`` and ``port`` once ``run`` is called."""
+        self._app = app
+        self._host = host
+        self._port = port
+        self._server = _Server(
+            Config(
+                app,
+                host=host,
+                port=port,
+                http='httptools',
+                ws='none',
+                lifespan='off',
+                log_config=None,
+                access_log=False,
+                server_header=False,
+                date_header=False,
+            ),
+        )
+
+    async def run(self, *, task_status: TaskStatus[None]) -> None:
+        """Serve until cancelled.
+
+        Raises:
+            OSError: the address cannot be bound.
+        """
+        sock = _bind(self._host, self._port)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._server.serve, [sock])
+            while not self._server.started:
+                await anyio.sleep(_STARTED_POLL_SECONDS)
+            task_status.started()
+
+    async def drain(self) -> None:
+        """Stop accepting and finish the requests in progress."""
+        self._server.should_exit = True
+
+
+def _bind(host: str, port: int) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- /dev/null
+++ b/src/savorystand/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Registry that starts, finds by name and stops services."""
--- /dev/null
+++ b/src/savorystand/kernel/kernel.py
@@ -0,0 +1,105 @@
+"""The micro-kernel of a process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeVar
+from typing import cast
+
+import anyio
+
+from savorystand.kernel.errors import ServiceExistsError
+from savorystand.kernel.errors import ServiceMissingError
+from savorystand.kernel.service import Service
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+    from anyio.abc import TaskStatus
+
+_ServiceT = TypeVar('_ServiceT')
+
+
+class Kernel:
+    """Registry of services by name; starts in order, stops in reverse."""
+
+    __slots__ = ('_checked', '_order', '_scopes', '_services')
+
+    def __init__(self) -> None:
+        """Create an empty registry."""
+        self._services: dict[str, object] = {}
+        self._order: list[str] = []
+        # Checks against protocols are slow, and names are looked up on each
+        # call, so that each pair is checked once.
+        self._checked: set[tuple[str, type]] = set()
+        self._scopes: dict[str, anyio.CancelScope] = {}
+
+    def register(self, name: str, service: object) -> None:
+        """Add a service; only instances of ``Service`` get a task.
+
+        Raises:
+            ServiceExistsError: the name is taken.
+        """
+        if name in self._services:
+            raise ServiceExistsError(f'service {name} is registered already')
+        self._services[name] = service
+        self._order.append(name)
+
+    def find(self, name: str, kind: type[_ServiceT]) -> _ServiceT:
+        """Return the service of that name.
+
+        Raises:
+            ServiceMissingError: nothing of that name and type is registered.
+        """
+        service = self._services.get(name)
+        if (name, kind) in self._checked:
+            return cast('_ServiceT', service)
+        if isinstance(service, kind):
+            self._checked.add((name, kind))
+            return service
+        raise ServiceMissingError(f'no service {name} of type {kind.__name__}')
+
+    async def run(
+        self,
+        stop: anyio.Event,
+        *,
+        task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run all services until ``stop`` is set, then drain and stop them.
+
+        Raises:
+            OSError: a service could not bind its address.
+        """
+        async with anyio.create_task_group() as tasks:
+            await self._start_all(tasks)
+            task_status.started()
+            await stop.wait()
+            await self._stop_all()
+
+    def _running(self) -> list[tuple[str, Service]]:
+        pairs = ((name, self._services[name]) for name in self._order)
+        return [
+            (name, service)
+            for name, service in pairs
+            if isinstance(service, Service)
+        ]
+
+    async def _start_all(self, tasks: TaskGroup) -> None:
+        for name, service in self._running():
+            scope = anyio.CancelScope()
+            self._scopes[name] = scope
+            await tasks.start(self._run_one, service, scope)
+
+    async def _run_one(
+        self,
+        service: Service,
+        scope: anyio.CancelScope,
+        *,
+        task_status: TaskStatus[None],
+    ) -> None:
+        with scope:
+            await service.run(task_status=task_status)
+
+    async def _stop_all(self) -> None:
+        for name, service in reversed(self._running()):
+            await service.drain()
+            self._scopes[name].cancel()
--- /dev/null
+++ b/src/savorystand/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes exist, where they are and whether they serve."""
--- /dev/null
+++ b/src/savorystand/membership/directory.py
@@ -0,0 +1,35 @@
+"""What other services ask of membership."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+from typing import runtime_checkable
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from savorystand.membership.member import Member
+
+
+@runtime_checkable
+class Directory(Protocol):
+    """The known members."""
+
+    def myself(self) -> Member:
+        """Return the record of this node."""
+
+    def serving(self, pool: str) -> list[Member]:
+        """Return the members of a pool that may get new work."""
+
+    def lookup(self, node_id: str) -> Member | None:
+        """Return the member of that node id, whatever its state."""
+
+    def members(self) -> Iterable[Member]:
+        """Return all known members."""
+
+    def announce(self, pool: str) -> None:
+        """Say that the own target serves ``pool`` from now on."""
+
+    def leave(self) -> None:
+        """Say that the own target takes no new work from now on."""
--- /dev/null
+++ b/src/savorystand/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node process."""
--- /dev/null
+++ b/src/savorystand/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's table service and object store."""
--- /dev/null
+++ b/src/savorystand/retry/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on retries, end to end and for each pool."""
--- /dev/null
+++ b/src/savorystand/retry/policy.py
@@ -0,0 +1,69 @@
+"""Decides whether a refused attempt is followed by another."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorystand.retry.budget import RetryBudget
+from savorystand.verdict import MayHaveRun
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+from savorystand.verdict import Refusal
+
+if TYPE_CHECKING:
+    from savorystand.tables.route import Route
+
+# Retries that an entry node grants a request, for its whole chain.
+ENTRY_RETRIES = 2
+
+# Trying again elsewhere cannot change these.
+_FINAL_REASONS = frozenset(
+    (
+        Reason.CANCELLED,
+        Reason.DEADLINE,
+        Reason.FORGOTTEN,
+        Reason.HOME_LOST,
+        Reason.IN_PROGRESS,
+        Reason.KEY_REUSED,
+        Reason.NO_TARGET,
+        Reason.TOO_LARGE,
+    )
+)
+
+
+class RetryPolicy:
+    """Retries of one node, with one token budget for each pool."""
+
+    __slots__ = ('_budgets',)
+
+    def __init__(self) -> None:
+        """Start with full budgets."""
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def budget(self, pool: str) -> RetryBudget:
+        """Return the token budget of a pool."""
+        return self._budgets.setdefault(pool, RetryBudget())
+
+    def entry_retries(self) -> int:
+        """Return the retries granted to a request that enters here."""
+        return ENTRY_RETRIES
+
+    def may_retry(
+        self,
+        route: Route,
+        refusal: Refusal,
+        retries_left: int,
+    ) -> bool:
+        """Return True, and take a token, if another attempt may follow.
+
+        ``retries_left`` is the request's own budget after the attempt.
+        """
+        if retries_left <= 0 or refusal.from_below:
+            return False
+        if refusal.reason in _FINAL_REASONS:
+            return False
+        match refusal:
+            case MayHaveRun() if not route.idempotent:
+                return False
+            case NotRun() | MayHaveRun():
+                return self.budget(route.pool).spend()
--- /dev/null
+++ b/src/savorystand/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Chooses the target of a call."""
--- /dev/null
+++ b/src/savorystand/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a node."""
--- /dev/null
+++ b/src/savorystand/tables/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' two tables: routes and pools."""
--- /dev/null
+++ b/src/savorystand/tables/tables.py
@@ -0,0 +1,63 @@
+"""One revision of both tables."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import final
+
+if TYPE_CHECKING:
+    from savorystand.tables.pool import Pool
+    from savorystand.tables.route import Route
+
+
+@final
+@dataclass(slots=True, kw_only=True)
+class Tables:
+    """Routes and pools joined by name, with indexes for look-up.
+
+    ``revision`` is 0 for the empty tables of a node that knows none yet.
+    """
+
+    revision: int
+    change_id: str
+    routes: tuple[Route, ...]
+    pools: tuple[Pool, ...]
+    _by_match: dict[tuple[str, str], Route] = field(init=False, repr=False)
+    _by_name: dict[str, Route] = field(init=False, repr=False)
+    _pools: dict[str, Pool] = field(init=False, repr=False)
+
+    def __post_init__(self) -> None:
+        """Build the indexes."""
+        self._by_match = {
+            (route.method, route.path): route for route in self.routes
+        }
+        self._by_name = {route.name: route for route in self.routes}
+        self._pools = {pool.name: pool for pool in self.pools}
+
+    def match(self, method: str, path: str) -> Route | None:
+        """Return the route with the longest matching path, by segments.
+
+        ``path`` may carry a query, which is ignored.
+        """
+        prefix = path.partition('?')[0].rstrip('/')
+        while prefix:
+            route = self._by_match.get((method, prefix))
+            if route is not None:
+                return route
+            prefix = prefix.rpartition('/')[0]
+        return self._by_match.get((method, '/'))
+
+    def route(self, name: str) -> Route | None:
+        """Return the route of that name."""
+        return self._by_name.get(name)
+
+    def pool(self, name: str) -> Pool | None:
+        """Return the pool of that name."""
+        return self._pools.get(name)
+
+
+def empty_tables() -> Tables:
+    """Return the tables of a node that has not received any revision."""
+    return Tables(revision=0, change_id='', routes=(), pools=())
--- /dev/null
+++ b/src/savorystand/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between nodes."""
--- /dev/null
+++ b/src/savorystand/transport/connection.py
@@ -0,0 +1,213 @@
+"""The calling side of a connection to a peer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+import anyio
+from expression import Error
+
+from savorystand.clock import MS_PER_SECOND
+from savorystand.clock import Clock
+from savorystand.transport.conversion import call_frame
+from savorystand.transport.conversion import chunk_frames
+from savorystand.transport.errors import STREAM_ERRORS
+from savorystand.transport.pending import PendingCalls
+from savorystand.transport.writer import FrameWriter
+from savorystand.verdict import MayHaveRun
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+from savorystand.wire.codec import FrameBuffer
+from savorystand.wire.codec import Message
+from savorystand.wire.errors import FrameError
+from savorystand.wire.gen.wire import ttypes
+
+if TYPE_CHECKING:
+    from anyio.abc import ByteStream
+
+    from savorystand.call import Call
+    from savorystand.call import Outcome
+    from savorystand.call import TargetLoad
+    from savorystand.transport.pending import PendingCall
+
+ControlHandler: TypeAlias = Callable[[Message], None]
+
+# A ping is sent after this much silence while answers are awaited.
+HEARTBEAT_MS = 500
+# A connection without traffic for this long, while answers are awaited, is
+# given up, so that no request waits 2 s because of it.
+SILENCE_MS = 1500
+# A connection that has been idle for longer is checked before a call uses it.
+IDLE_CHECK_MS = 1000
+MAX_STREAMS = 4096
+# What the peer gets to report its own verdict on an expired call.
+_VERDICT_GRACE_MS = 30
+_RECEIVE_BYTES = 65536
+
+
+class PeerConnection:
+    """One open connection, on which this node makes calls to a peer."""
+
+    __slots__ = (
+        '_clock',
+        '_on_control',
+        '_pending',
+        '_pong',
+        '_received_ms',
+        '_scope',
+        '_writer',
+        'closed',
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        on_load: Callable[[TargetLoad], None],
+        on_control: ControlHandler,
+    ) -> None:
+        """Create a connection that ``run`` brings to life."""
+        self._clock = clock
+        self._on_control = on_control
+        self._pending = PendingCalls(on_load=on_load)
+        self._writer = FrameWriter()
+        self._received_ms = clock.now()
+        self._pong = anyio.Event()
+        self._scope = anyio.CancelScope()
+        self.closed = False
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of calls that await an answer."""
+        return len(self._pending)
+
+    async def run(self, stream: ByteStream) -> None:
+        """Serve the connection until it ends; pending calls then fail."""
+        try:
+            with self._scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._writer.run, stream)
+                    tasks.start_soon(self._watch_silence)
+                    await self._read(stream)
+                    tasks.cancel_scope.cancel()
+        except* STREAM_ERRORS:
+            # The pending calls carry the failure to their callers.
+            self.closed = True
+        finally:
+            self._fail()
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+
+    def send(self, frame: Message) -> None:
+        """Send a control frame, which is lost if the connection ends."""
+        if not self.closed:
+            self._writer.send(frame)
+
+    def abort(self) -> None:
+        """Give the connection up; its calls fail with truthful verdicts."""
+        self.closed = True
+        self._scope.cancel()
+
+    def fresh(self) -> bool:
+        """Return True if recent traffic shows that the connection works."""
+        idle_ms = self._clock.now() - self._received_ms
+        return not self.closed and idle_ms < IDLE_CHECK_MS
+
+    async def check(self) -> bool:
+        """Return True once traffic shows that the connection still works."""
+        if self.closed or self.fresh():
+            return not self.closed
+        self._pong = anyio.Event()
+        self._writer.send(ttypes.Frame(ping=ttypes.Ping(sequence=0)))
+        with anyio.move_on_after(HEARTBEAT_MS / MS_PER_SECOND):
+            await self._pong.wait()
+            return not self.closed
+        return False
+
+    async def call(self, call: Call) -> Outcome:
+        """Make a call and wait for its whole answer or a refusal.
+
+        Once the opening frame is queued the peer may see it, so that any
+        failure from there on is ``MayHaveRun``.
+        """
+        if self.closed or len(self._pending) >= MAX_STREAMS:
+            return not_connected('no free stream')
+        stream, pending = self._pending.open()
+        try:
+            return await self._exchange(call, stream, pending)
+        except FrameError as exc:
+            return Error(NotRun(reason=Reason.TOO_LARGE, detail=str(exc)))
+        finally:
+            self._pending.close(stream)
+            if pending.outcome is None:
+                self._send_cancel(stream)
+
+    async def _exchange(
+        self,
+        call: Call,
+        stream: int,
+        pending: PendingCall,
+    ) -> Outcome:
+        now = self._clock.now()
+        wait_ms = call.context.deadline_ms - now + _VERDICT_GRACE_MS
+        self._writer.send(call_frame(call, stream, now))
+        with anyio.move_on_after(max(0, wait_ms) / MS_PER_SECOND):
+            for frame in chunk_frames(call.body, stream):
+                await self._writer.send_chunk(frame)
+            await pending.done.wait()
+        if pending.outcome is None:
+            return Error(MayHaveRun(reason=Reason.DEADLINE))
+        return pending.outcome
+
+    def _send_cancel(self, stream: int) -> None:
+        self.send(ttypes.Frame(cancel=ttypes.Cancel(stream=stream)))
+
+    async def _watch_silence(self) -> None:
+        while True:
+            before = self._clock.now()
+            await self._clock.sleep(HEARTBEAT_MS)
+            now = self._clock.now()
+            if now - before > SILENCE_MS:
+                # This process was paused: the peer is not to blame.
+                self._received_ms = now
+            silent_ms = now - self._received_ms
+            if not self._pending or silent_ms < HEARTBEAT_MS:
+                continue
+            if silent_ms >= SILENCE_MS:
+                self.abort()
+            self._writer.send(ttypes.Frame(ping=ttypes.Ping(sequence=0)))
+
+    async def _read(self, stream: ByteStream) -> None:
+        frames = FrameBuffer()
+        while True:
+            try:
+                received = await stream.receive(_RECEIVE_BYTES)
+            except anyio.EndOfStream:
+                return
+            self._received_ms = self._clock.now()
+            for frame in frames.feed(received):
+                self._accept(frame)
+
+    def _accept(self, frame: Message) -> None:
+        if frame.answer is not None:
+            self._pending.begin_answer(frame.answer)
+        elif frame.chunk is not None:
+            self._pending.add_chunk(frame.chunk)
+        elif frame.refused is not None:
+            self._pending.refuse(frame.refused)
+        elif frame.pong is not None:
+            self._pong.set()
+        else:
+            self._on_control(frame)
+
+    def _fail(self) -> None:
+        self.closed = True
+        self._pong.set()
+        self._pending.fail()
+
+
+def not_connected(detail: str) -> Outcome:
+    """Return the refusal for a peer that no connection reaches."""
+    return Error(NotRun(reason=Reason.CONNECTION_LOST, detail=detail))
--- /dev/null
+++ b/src/savorystand/transport/conversion.py
@@ -0,0 +1,210 @@
+"""Translates between calls and frames."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorystand.call import Answer
+from savorystand.call import Call
+from savorystand.call import CallContext
+from savorystand.call import Headers
+from savorystand.call import Importance
+from savorystand.call import TargetLoad
+from savorystand.verdict import MayHaveRun
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+from savorystand.verdict import Refusal
+from savorystand.wire.errors import FrameError
+from savorystand.wire.gen.wire import ttypes
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from savorystand.tables.route import Route
+    from savorystand.wire.codec import Message
+
+CHUNK_BYTES = 16384
+# Longest body that a node holds in memory, request or answer.
+MAX_BODY_BYTES = 16777216
+_MAX_HEADERS = 100
+_MAX_RETRIES = 8
+
+
+def call_frame(call: Call, stream: int, now: float) -> Message:
+    """Return the frame that opens a call, with the first chunk of its body."""
+    body = call.body[:CHUNK_BYTES]
+    return ttypes.Frame(
+        call=ttypes.CallStart(
+            stream=stream,
+            context=_wire_context(call.context, now),
+            route=call.route.name,
+            method=call.method,
+            path=call.path,
+            headers=_wire_headers(call.headers),
+            body=body,
+            last=len(body) == len(call.body),
+            key=call.key,
+            to_home=call.to_home,
+            body_size=len(call.body),
+        ),
+    )
+
+
+def chunk_frames(body: bytes, stream: int) -> Iterator[Message]:
+    """Yield the frames for what follows the first chunk of a body."""
+    for start in range(CHUNK_BYTES, len(body), CHUNK_BYTES):
+        end = start + CHUNK_BYTES
+        yield ttypes.Frame(
+            chunk=ttypes.BodyChunk(
+                stream=stream,
+                body=body[start:end],
+                last=end >= len(body),
+            ),
+        )
+
+
+def call_from(start: Message, route: Route, body: bytes, now: float) -> Call:
+    """Return the call that a frame opened, with its whole body.
+
+    Raises:
+        FrameError: a field is out of its range.
+    """
+    return Call(
+        context=_context_from(start.context, now),
+        route=route,
+        method=start.method,
+        path=start.path,
+        headers=_headers_from(start.headers),
+        body=body,
+        key=start.key or '',
+        to_home=bool(start.to_home),
+    )
+
+
+def answer_frame(answer: Answer, stream: int) -> Message:
+    """Return the frame that opens an answer, with its first chunk."""
+    body = answer.body[:CHUNK_BYTES]
+    return ttypes.Frame(
+        answer=ttypes.AnswerStart(
+            stream=stream,
+            status=answer.status,
+            headers=_wire_headers(answer.headers),
+            body=body,
+            last=len(body) == len(answer.body),
+            retries_left=answer.retries_left,
+            load=_wire_load(answer.load),
+            body_size=len(answer.body),
+        ),
+    )
+
+
+def answer_from(start: Message, body: bytes) -> Answer:
+    """Return the whole answer that a frame opened."""
+    return Answer(
+        status=start.status,
+        headers=_headers_from(start.headers),
+        body=body,
+        retries_left=start.retries_left,
+        load=_load_from(start.load),
+    )
+
+
+def refusal_frame(
+    refusal: Refusal,
+    stream: int,
+    load: TargetLoad | None,
+) -> Message:
+    """Return the frame that refuses a call."""
+    return ttypes.Frame(
+        refused=ttypes.Refused(
+            stream=stream,
+            may_have_run=isinstance(refusal, MayHaveRun),
+            reason=refusal.reason.value,
+            detail=refusal.detail,
+            retry_after_ms=int(refusal.retry_after_ms),
+            retries_left=refusal.retries_left,
+            load=None if load is None else _wire_load(load),
+            from_below=refusal.from_below,
+        ),
+    )
+
+
+def refusal_from(refused: Message) -> Refusal:
+    """Return the refusal of a frame.
+
+    Raises:
+        FrameError: the reason is unknown.
+    """
+    try:
+        reason = Reason(refused.reason)
+    except ValueError as exc:
+        raise FrameError(f'unknown reason {refused.reason!r}') from exc
+    kind = MayHaveRun if refused.may_have_run else NotRun
+    return kind(
+        reason=reason,
+        detail=refused.detail,
+        retry_after_ms=refused.retry_after_ms,
+        retries_left=refused.retries_left,
+        from_below=bool(refused.from_below),
+    )
+
+
+def load_from_refusal(refused: Message) -> TargetLoad | None:
+    """Return the load report of a refusal, if it carries one."""
+    if refused.load is None:
+        return None
+    return _load_from(refused.load)
+
+
+def _wire_headers(headers: Headers) -> list[Message]:
+    return [ttypes.Header(name=name, value=text) for name, text in headers]
+
+
+def _headers_from(headers: list[Message]) -> Headers:
+    if len(headers) > _MAX_HEADERS:
+        raise FrameError(f'{len(headers)} headers exceed {_MAX_HEADERS}')
+    return tuple((header.name, header.value) for header in headers)
+
+
+def _wire_context(context: CallContext, now: float) -> Message:
+    return ttypes.CallContext(
+        request_id=context.request_id,
+        execution_id=context.execution_id,
+        remaining_ms=max(0, int(context.deadline_ms - now)),
+        retries_left=context.retries_left,
+        rank=int(context.importance),
+    )
+
+
+def _context_from(context: Message, now: float) -> CallContext:
+    try:
+        importance = Importance(context.rank)
+    except ValueError as exc:
+        raise FrameError(f'unknown importance {context.rank}') from exc
+    return CallContext(
+        request_id=context.request_id,
+        execution_id=context.execution_id,
+        deadline_ms=now + context.remaining_ms,
+        retries_left=min(max(0, context.retries_left), _MAX_RETRIES),
+        importance=importance,
+    )
+
+
+def _wire_load(load: TargetLoad) -> Message:
+    return ttypes.Load(
+        in_flight=load.in_flight,
+        queued=load.queued,
+        limit=load.limit,
+        admitted_rank=load.admitted_rank,
+        expected_ms=load.expected_ms,
+    )
+
+
+def _load_from(load: Message) -> TargetLoad:
+    return TargetLoad(
+        in_flight=load.in_flight,
+        queued=load.queued,
+        limit=load.limit,
+        admitted_rank=load.admitted_rank,
+        expected_ms=load.expected_ms,
+    )
--- /dev/null
+++ b/src/savorystand/transport/errors.py
@@ -0,0 +1,20 @@
+"""Errors of connections between nodes."""
+
+from __future__ import annotations
+
+import anyio
+
+from savorystand.wire.errors import FrameError
+
+
+class ConnectionLostError(Exception):
+    """The connection was closed, was reset or went silent."""
+
+
+# What a broken, closed or misused connection raises in its tasks.
+STREAM_ERRORS = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    FrameError,
+)
--- /dev/null
+++ b/src/savorystand/transport/peers.py
@@ -0,0 +1,171 @@
+"""Connections to all peers that this node calls, and the peer listener."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+import anyio
+
+from savorystand.call import Call
+from savorystand.call import Outcome
+from savorystand.call import TargetLoad
+from savorystand.clock import MS_PER_SECOND
+from savorystand.clock import Clock
+from savorystand.kernel.service import Service
+from savorystand.transport.address import PeerAddress
+from savorystand.transport.connection import PeerConnection
+from savorystand.transport.connection import not_connected
+from savorystand.transport.errors import ConnectionLostError
+from savorystand.transport.inbound import ControlPeer
+from savorystand.transport.inbound import InboundHandler
+from savorystand.transport.network import Network
+from savorystand.transport.server import ServerConnection
+from savorystand.wire.codec import Message
+
+if TYPE_CHECKING:
+    from anyio.abc import ByteStream
+    from anyio.abc import TaskGroup
+    from anyio.abc import TaskStatus
+
+    from savorystand.kernel.kernel import Kernel
+
+_CONNECT_MS = 1000
+
+
+LoadObserver: TypeAlias = Callable[[PeerAddress, TargetLoad], None]
+ControlObserver: TypeAlias = Callable[[PeerAddress, Message], None]
+
+
+class PeerTransport(Service):
+    """Keeps one connection a peer and serves connections from peers."""
+
+    __slots__ = (
+        '_clock',
+        '_connections',
+        '_control_observers',
+        '_host',
+        '_kernel',
+        '_load_observers',
+        '_locks',
+        '_port',
+        '_tasks',
+    )
+
+    def __init__(self, *, kernel: Kernel, host: str, port: int) -> None:
+        """Listen on ``host`` and ``port`` once ``run`` is called."""
+        self._kernel = kernel
+        self._clock = kernel.find('clock', Clock)
+        self._host = host
+        self._port = port
+        self._connections: dict[PeerAddress, PeerConnection] = {}
+        self._locks: dict[PeerAddress, anyio.Lock] = {}
+        self._load_observers: list[LoadObserver] = []
+        self._control_observers: list[ControlObserver] = []
+        self._tasks: TaskGroup | None = None
+
+    def on_load(self, observer: LoadObserver) -> None:
+        """Pass each load report of a peer to ``observer``."""
+        self._load_observers.append(observer)
+
+    def on_control(self, observer: ControlObserver) -> None:
+        """Pass each control frame that a peer answers to ``observer``."""
+        self._control_observers.append(observer)
+
+    async def run(self, *, task_status: TaskStatus[None]) -> None:
+        """Accept connections from peers until cancelled.
+
+        Raises:
+            OSError: the address cannot be bound.
+        """
+        network = self._kernel.find('network', Network)
+        listener = await network.listen(self._host, self._port)
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            task_status.started()
+            await listener.serve(self._serve)
+
+    async def call(self, peer: PeerAddress, call: Call) -> Outcome:
+        """Make a call to a peer over its connection, opening it if needed."""
+        try:
+            conn = await self._connection(peer)
+        except ConnectionLostError as exc:
+            return not_connected(str(exc))
+        if conn is None:
+            return not_connected('this node is stopping')
+        return await conn.call(call)
+
+    async def send(self, peer: PeerAddress, frame: Message) -> None:
+        """Send a control frame to a peer.
+
+        Raises:
+            ConnectionLostError: the peer cannot be reached.
+        """
+        conn = await self._connection(peer)
+        if conn is not None:
+            conn.send(frame)
+
+    def send_open(self, frame: Message) -> None:
+        """Send a control frame on each connection that is open."""
+        for conn in self._connections.values():
+            conn.send(frame)
+
+    def forget(self, peer: PeerAddress) -> None:
+        """Drop the connection to a peer that is gone for good."""
+        conn = self._connections.pop(peer, None)
+        self._locks.pop(peer, None)
+        if conn is not None:
+            conn.abort()
+
+    async def _connection(self, peer: PeerAddress) -> PeerConnection | None:
+        conn = self._connections.get(peer)
+        if conn is not None and conn.fresh():
+            return conn
+        lock = self._locks.setdefault(peer, anyio.Lock())
+        async with lock:
+            conn = self._connections.get(peer)
+            if conn is not None and await conn.check():
+                return conn
+            return await self._open(peer)
+
+    async def _open(self, peer: PeerAddress) -> PeerConnection | None:
+        if self._tasks is None:
+            return None
+        stale = self._connections.pop(peer, None)
+        if stale is not None:
+            stale.abort()
+        stream = await self._connect(peer)
+        conn = PeerConnection(
+            clock=self._clock,
+            on_load=lambda load: self._observe_load(peer, load),
+            on_control=lambda frame: self._observe_control(peer, frame),
+        )
+        self._connections[peer] = conn
+        self._tasks.start_soon(conn.run, stream)
+        return conn
+
+    async def _connect(self, peer: PeerAddress) -> ByteStream:
+        network = self._kernel.find('network', Network)
+        try:
+            with anyio.fail_after(_CONNECT_MS / MS_PER_SECOND):
+                return await network.connect(peer.host, peer.port)
+        except OSError as exc:
+            where = f'{peer.host}:{peer.port}'
+            raise ConnectionLostError(f'{where}: {exc}') from exc
+
+    async def _serve(self, stream: ByteStream) -> None:
+        conn = ServerConnection(
+            clock=self._clock,
+            inbound=self._kernel.find('inbound', InboundHandler),
+            control=self._kernel.find('control', ControlPeer),
+        )
+        await conn.run(stream)
+
+    def _observe_load(self, peer: PeerAddress, load: TargetLoad) -> None:
+        for observer in self._load_observers:
+            observer(peer, load)
+
+    def _observe_control(self, peer: PeerAddress, frame: Message) -> None:
+        for observer in self._control_observers:
+            observer(peer, frame)
--- /dev/null
+++ b/src/savorystand/transport/pending.py
@@ -0,0 +1,122 @@
+"""Calls of one connection that await their answers."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+import anyio
+from expression import Error
+from expression import Ok
+
+from savorystand.transport.assembly import BodyAssembly
+from savorystand.transport.conversion import answer_from
+from savorystand.transport.conversion import load_from_refusal
+from savorystand.transport.conversion import refusal_from
+from savorystand.verdict import MayHaveRun
+from savorystand.verdict import Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from savorystand.call import Outcome
+    from savorystand.call import TargetLoad
+    from savorystand.wire.codec import Message
+
+
+class PendingCall:
+    """One call whose answer has not arrived in whole."""
+
+    __slots__ = ('assembly', 'done', 'outcome')
+
+    def __init__(self) -> None:
+        """Wait for the first frame of the answer."""
+        self.done = anyio.Event()
+        self.assembly: BodyAssembly | None = None
+        self.outcome: Outcome | None = None
+
+    def finish(self, outcome: Outcome) -> None:
+        """Wake the caller with the outcome."""
+        self.outcome = outcome
+        self.done.set()
+
+
+class PendingCalls:
+    """Matches frames to calls by stream number.
+
+    A number is used once in a connection's life, so that a late frame finds
+    no call and never reaches another caller.
+    """
+
+    __slots__ = ('_calls', '_on_load', '_streams')
+
+    def __init__(self, *, on_load: Callable[[TargetLoad], None]) -> None:
+        """Pass the load reports in answers and refusals to ``on_load``."""
+        self._calls: dict[int, PendingCall] = {}
+        self._streams = itertools.count(1)
+        self._on_load = on_load
+
+    def __len__(self) -> int:
+        """Return the number of calls that await an answer."""
+        return len(self._calls)
+
+    def open(self) -> tuple[int, PendingCall]:
+        """Return a fresh stream number and its pending call."""
+        stream = next(self._streams)
+        pending = PendingCall()
+        self._calls[stream] = pending
+        return stream, pending
+
+    def close(self, stream: int) -> None:
+        """Forget a call; frames that still arrive for it are dropped."""
+        self._calls.pop(stream, None)
+
+    def begin_answer(self, start: Message) -> None:
+        """Take the opening frame of an answer.
+
+        Raises:
+            FrameError: the announced or actual length is wrong.
+        """
+        pending = self._calls.get(start.stream)
+        if pending is None:
+            return
+        pending.assembly = BodyAssembly(start=start)
+        if start.last:
+            self._finish(pending, pending.assembly)
+
+    def add_chunk(self, chunk: Message) -> None:
+        """Take one more chunk of an answer.
+
+        Raises:
+            FrameError: the body does not have the announced length.
+        """
+        pending = self._calls.get(chunk.stream)
+        if pending is None or pending.assembly is None:
+            return
+        if pending.assembly.add(chunk):
+            self._finish(pending, pending.assembly)
+
+    def refuse(self, refused: Message) -> None:
+        """Take a refusal.
+
+        Raises:
+            FrameError: its reason is unknown.
+        """
+        load = load_from_refusal(refused)
+        if load is not None:
+            self._on_load(load)
+        pending = self._calls.get(refused.stream)
+        if pending is not None:
+            pending.finish(Error(refusal_from(refused)))
+
+    def fail(self) -> None:
+        """End all calls: their requests were sent, their answers are lost."""
+        for pending in self._calls.values():
+            if pending.outcome is None:
+                lost = MayHaveRun(reason=Reason.CONNECTION_LOST)
+                pending.finish(Error(lost))
+
+    def _finish(self, pending: PendingCall, assembly: BodyAssembly) -> None:
+        answer = answer_from(assembly.start, assembly.whole())
+        self._on_load(answer.load)
+        pending.finish(Ok(answer))
--- /dev/null
+++ b/src/savorystand/transport/server.py
@@ -0,0 +1,165 @@
+"""The serving side of a connection from a peer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from expression import Result
+
+from savorystand.transport.assembly import BodyAssembly
+from savorystand.transport.connection import MAX_STREAMS
+from savorystand.transport.conversion import answer_frame
+from savorystand.transport.conversion import call_from
+from savorystand.transport.conversion import chunk_frames
+from savorystand.transport.conversion import refusal_frame
+from savorystand.transport.errors import STREAM_ERRORS
+from savorystand.transport.writer import FrameWriter
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+from savorystand.verdict import Refusal
+from savorystand.wire.codec import FrameBuffer
+from savorystand.wire.codec import Message
+from savorystand.wire.gen.wire import ttypes
+
+if TYPE_CHECKING:
+    from anyio.abc import ByteStream
+    from anyio.abc import TaskGroup
+
+    from savorystand.call import Call
+    from savorystand.clock import Clock
+    from savorystand.transport.inbound import ControlPeer
+    from savorystand.transport.inbound import InboundHandler
+
+_RECEIVE_BYTES = 65536
+
+
+class ServerConnection:
+    """Serves the calls of one peer; one task for each call."""
+
+    __slots__ = (
+        '_assemblies',
+        '_clock',
+        '_control',
+        '_inbound',
+        '_scopes',
+        '_writer',
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        inbound: InboundHandler,
+        control: ControlPeer,
+    ) -> None:
+        """Create the connection; ``run`` serves it."""
+        self._clock = clock
+        self._inbound = inbound
+        self._control = control
+        self._writer = FrameWriter()
+        self._assemblies: dict[int, BodyAssembly] = {}
+        self._scopes: dict[int, anyio.CancelScope] = {}
+
+    async def run(self, stream: ByteStream) -> None:
+        """Serve until the peer goes; work it still awaits is cancelled."""
+        try:
+            async with stream, anyio.create_task_group() as tasks:
+                tasks.start_soon(self._writer.run, stream)
+                await self._read(stream, tasks)
+                tasks.cancel_scope.cancel()
+        except* STREAM_ERRORS:
+            # The peer sees the loss and answers its callers.
+            self._assemblies.clear()
+
+    def send(self, frame: Message) -> None:
+        """Send a control frame to the peer."""
+        self._writer.send(frame)
+
+    async def _read(self, stream: ByteStream, tasks: TaskGroup) -> None:
+        frames = FrameBuffer()
+        while True:
+            try:
+                received = await stream.receive(_RECEIVE_BYTES)
+            except anyio.EndOfStream:
+                return
+            for frame in frames.feed(received):
+                self._accept(frame, tasks)
+
+    def _accept(self, frame: Message, tasks: TaskGroup) -> None:
+        if frame.call is not None:
+            self._begin_call(frame.call, tasks)
+        elif frame.chunk is not None:
+            self._add_chunk(frame.chunk, tasks)
+        elif frame.cancel is not None:
+            self._cancel(frame.cancel.stream)
+        elif frame.ping is not None:
+            pong = ttypes.Pong(sequence=frame.ping.sequence)
+            self._writer.send(ttypes.Frame(pong=pong))
+        else:
+            self._answer_control(frame)
+
+    def _answer_control(self, frame: Message) -> None:
+        reply = self._control.answer(frame)
+        if reply is not None:
+            self._writer.send(reply)
+
+    def _begin_call(self, start: Message, tasks: TaskGroup) -> None:
+        streams = len(self._scopes) + len(self._assemblies)
+        if streams >= MAX_STREAMS or start.stream in self._scopes:
+            self._refuse(start.stream, NotRun(reason=Reason.OVERLOADED))
+            return
+        assembly = BodyAssembly(start=start)
+        if start.last:
+            self._start_call(assembly, tasks)
+        else:
+            self._assemblies[start.stream] = assembly
+
+    def _add_chunk(self, chunk: Message, tasks: TaskGroup) -> None:
+        assembly = self._assemblies.get(chunk.stream)
+        if assembly is not None and assembly.add(chunk):
+            del self._assemblies[chunk.stream]
+            self._start_call(assembly, tasks)
+
+    def _cancel(self, stream: int) -> None:
+        self._assemblies.pop(stream, None)
+        scope = self._scopes.get(stream)
+        if scope is not None:
+            scope.cancel()
+
+    def _start_call(self, assembly: BodyAssembly, tasks: TaskGroup) -> None:
+        start = assembly.start
+        route = self._inbound.route(start.route)
+        if route is None:
+            refusal = NotRun(reason=Reason.NO_ROUTE, detail=start.route)
+            self._refuse(start.stream, refusal)
+            return
+        call = call_from(start, route, assembly.whole(), self._clock.now())
+        scope = anyio.CancelScope()
+        self._scopes[start.stream] = scope
+        tasks.start_soon(self._serve, start.stream, call, scope)
+
+    async def _serve(
+        self,
+        stream: int,
+        call: Call,
+        scope: anyio.CancelScope,
+    ) -> None:
+        try:
+            with scope:
+                await self._reply(stream, await self._inbound.serve(call))
+        finally:
+            self._scopes.pop(stream, None)
+
+    async def _reply(self, stream: int, outcome: object) -> None:
+        match outcome:
+            case Result(tag='ok', ok=answer):
+                self._writer.send(answer_frame(answer, stream))
+                for frame in chunk_frames(answer.body, stream):
+                    await self._writer.send_chunk(frame)
+            case Result(error=refusal):
+                self._refuse(stream, refusal)
+
+    def _refuse(self, stream: int, refusal: Refusal) -> None:
+        load = self._inbound.load()
+        self._writer.send(refusal_frame(refusal, stream, load))
--- /dev/null
+++ b/src/savorystand/transport/writer.py
@@ -0,0 +1,75 @@
+"""Writes frames to a connection, short ones ahead of body chunks."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import anyio
+
+from savorystand.wire.codec import Message
+from savorystand.wire.codec import encode_frame
+
+if TYPE_CHECKING:
+    from anyio.abc import ByteSendStream
+
+# Bound on the chunks that wait in one connection, so that an upload is held
+# back at its source and not in the memory of the node.
+_MAX_WAITING_CHUNKS = 8
+
+
+class FrameWriter:
+    """Outbox of one connection, emptied by one task."""
+
+    __slots__ = ('_chunks', '_room', '_urgent', '_wake')
+
+    def __init__(self) -> None:
+        """Start with an empty outbox."""
+        self._urgent: deque[bytes] = deque()
+        self._chunks: deque[bytes] = deque()
+        self._wake = anyio.Event()
+        self._room = anyio.Event()
+
+    def send(self, frame: Message) -> None:
+        """Queue a short frame; it overtakes all waiting chunks.
+
+        Raises:
+            FrameError: the frame is too long.
+        """
+        self._urgent.append(encode_frame(frame))
+        self._wake.set()
+
+    async def send_chunk(self, frame: Message) -> None:
+        """Queue a body chunk, waiting while too many are queued.
+
+        Raises:
+            FrameError: the frame is too long.
+        """
+        encoded = encode_frame(frame)
+        while len(self._chunks) >= _MAX_WAITING_CHUNKS:
+            self._room = anyio.Event()
+            await self._room.wait()
+        self._chunks.append(encoded)
+        self._wake.set()
+
+    async def run(self, stream: ByteSendStream) -> None:
+        """Write queued frames until cancelled.
+
+        Raises:
+            anyio.BrokenResourceError: the connection is broken.
+            anyio.ClosedResourceError: the connection was closed.
+        """
+        while True:
+            if not self._urgent and not self._chunks:
+                self._wake = anyio.Event()
+                await self._wake.wait()
+            await stream.send(self._next_batch())
+
+    def _next_batch(self) -> bytes:
+        # One chunk a batch: a short frame never waits for more than that.
+        batch = list(self._urgent)
+        self._urgent.clear()
+        if self._chunks:
+            batch.append(self._chunks.popleft())
+            self._room.set()
+        return b''.join(batch)
--- /dev/null
+++ b/src/savorystand/verdict.py
@@ -0,0 +1,70 @@
+"""Verdicts: whether a refused request may have run."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TypeAlias
+from typing import final
+
+
+@final
+class Reason(Enum):
+    """Why a request was refused."""
+
+    NO_ROUTE = 'no-route'
+    KEY_REQUIRED = 'key-required'
+    KEY_REUSED = 'key-reused'
+    IN_PROGRESS = 'in-progress'
+    OVERLOADED = 'overloaded'
+    DEADLINE = 'deadline'
+    CANCELLED = 'cancelled'
+    UNAVAILABLE = 'unavailable'
+    NO_TARGET = 'no-target'
+    DRAINING = 'draining'
+    CONNECTION_LOST = 'connection-lost'
+    HOME_LOST = 'home-lost'
+    FORGOTTEN = 'forgotten'
+    STORE_UNAVAILABLE = 'store-unavailable'
+    TARGET_FAILED = 'target-failed'
+    TOO_LARGE = 'too-large'
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class NotRun:
+    """The target has not seen the request and will not see this attempt.
+
+    ``retries_left`` is the retry budget that the refusing hop hands back,
+    ``from_below`` tells that a deeper hop failed and has spent its retries.
+    """
+
+    reason: Reason
+    detail: str = ''
+    retry_after_ms: int = 0
+    retries_left: int = 0
+    from_below: bool = False
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class MayHaveRun:
+    """The target may have seen the request, in whole or in part."""
+
+    reason: Reason
+    detail: str = ''
+    retry_after_ms: int = 0
+    retries_left: int = 0
+    from_below: bool = False
+
+
+Refusal: TypeAlias = NotRun | MayHaveRun
+
+
+def verdict_name(refusal: Refusal) -> str:
+    """Return the verdict as it stands in headers, bodies and logs."""
+    match refusal:
+        case NotRun():
+            return 'not-run'
+        case MayHaveRun():
+            return 'may-have-run'
--- /dev/null
+++ b/src/savorystand/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between nodes and their encoding."""
--- /dev/null
+++ b/src/savorystand/wire/codec.py
@@ -0,0 +1,101 @@
+"""Frames of the peer protocol and datagrams of membership.
+
+A frame is a 4-byte big-endian length and a thrift compact struct.
+"""
+
+from __future__ import annotations
+
+import struct
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeAlias
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.Thrift import TException
+from thrift.transport.TTransport import TMemoryBuffer
+
+from savorystand.wire.errors import FrameError
+from savorystand.wire.gen.wire.ttypes import Frame
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+# A message struct of the generated module, which carries no type hints.
+Message: TypeAlias = Any
+
+MAX_FRAME_BYTES = 65536
+_LENGTH = struct.Struct('!I')
+_DECODE_ERRORS = (
+    EOFError,
+    MemoryError,
+    OverflowError,
+    TException,
+    TypeError,
+    ValueError,
+)
+
+
+def encode_struct(message: Message) -> bytes:
+    """Return the thrift compact encoding of a generated struct."""
+    protocol = TCompactProtocolAccelerated(TMemoryBuffer())
+    encoded: bytes = protocol._fast_encode(  # noqa: SLF001, WPS437
+        message,
+        [message.__class__, message.thrift_spec],
+    )
+    return encoded
+
+
+def decode_struct(message: Message, encoded: bytes) -> Message:
+    """Fill a generated struct from its thrift compact encoding.
+
+    Raises:
+        FrameError: the bytes are not a whole struct of that type.
+    """
+    protocol = TCompactProtocolAccelerated(TMemoryBuffer(encoded))
+    try:
+        message.read(protocol)
+        message.validate()
+    except _DECODE_ERRORS as exc:
+        raise FrameError(f'malformed {type(message).__name__}: {exc}') from exc
+    return message
+
+
+def encode_frame(frame: Message) -> bytes:
+    """Return length and body of a frame, ready to be written.
+
+    Raises:
+        FrameError: the frame is longer than ``MAX_FRAME_BYTES``.
+    """
+    body = encode_struct(frame)
+    if len(body) > MAX_FRAME_BYTES:
+        raise FrameError(f'frame of {len(body)} bytes exceeds the limit')
+    return _LENGTH.pack(len(body)) + body
+
+
+class FrameBuffer:
+    """Cuts a byte stream into frames."""
+
+    __slots__ = ('_pending',)
+
+    def __init__(self) -> None:
+        """Start at a frame boundary."""
+        self._pending = bytearray()
+
+    def feed(self, chunk: bytes) -> Iterator[Message]:
+        """Add received bytes and yield each frame that is complete.
+
+        Raises:
+            FrameError: a length is out of bounds or a frame is malformed;
+                the stream cannot be used any further.
+        """
+        self._pending += chunk
+        while len(self._pending) >= _LENGTH.size:
+            size = _LENGTH.unpack_from(self._pending)[0]
+            if size > MAX_FRAME_BYTES:
+                raise FrameError(f'frame of {size} bytes exceeds the limit')
+            end = _LENGTH.size + size
+            if len(self._pending) < end:
+                return
+            body = bytes(self._pending[_LENGTH.size : end])
+            del self._pending[:end]
+            yield decode_struct(Frame(), body)
--- /dev/null
+++ b/src/savorystand/wire/gen/wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/tests/deduplication/test_ledger.py
@@ -0,0 +1,93 @@
+"""Failures: a key runs twice, or is run again after it was dropped."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from savorystand.call import Answer
+from savorystand.deduplication.keys import IssuedKey
+from savorystand.deduplication.keys import KeyIssuer
+from savorystand.deduplication.keys import parse_issued
+from savorystand.deduplication.ledger import KeyLedger
+from savorystand.deduplication.ledger import RunNow
+from savorystand.verdict import MayHaveRun
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+
+if TYPE_CHECKING:
+    from savorystand.call import Outcome
+
+_OUTCOMES: tuple[Outcome, ...] = (
+    Ok(Answer(status=200, headers=(), body=b'done')),
+    Error(MayHaveRun(reason=Reason.CONNECTION_LOST)),
+    Error(NotRun(reason=Reason.OVERLOADED)),
+)
+
+
+def test_parse_rejects_foreign_keys() -> None:
+    """A caller's own key must not be taken for an issued one."""
+    issuer = KeyIssuer(node_id='ab')
+    issued = parse_issued(issuer.issue())
+    assert issued is not None
+    assert issuer.verify(issued)
+    forged = IssuedKey(node_id='ab', sequence=2, check=issued.check)
+    assert not issuer.verify(forged)
+    assert parse_issued('sk1.ab.x.y') is None
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Compares a ledger of few records with an oracle that forgets nothing."""
+
+    def __init__(self) -> None:
+        """Start with an empty ledger and an oracle of finished runs."""
+        super().__init__()
+        self.issuer = KeyIssuer(node_id='ab')
+        self.ledger = KeyLedger(max_records=3)
+        self.keys: list[IssuedKey] = []
+        self.running: dict[str, RunNow] = {}
+        self.may_have_run: set[str] = set()
+
+    @rule()
+    def issue(self) -> None:
+        """Issue one more key."""
+        key = parse_issued(self.issuer.issue())
+        assert key is not None
+        self.keys.append(key)
+
+    @rule(pick=st.integers(0, 50))
+    def begin(self, pick: int) -> None:
+        """Begin any issued key; one that may have run must not run again."""
+        if not self.keys:
+            return
+        key = self.keys[pick % len(self.keys)]
+        decision = self.ledger.begin_issued(key, b'same')
+        if isinstance(decision, RunNow):
+            assert key.text() not in self.may_have_run
+            assert key.text() not in self.running
+            self.running[key.text()] = decision
+
+    @rule(pick=st.integers(0, 50), outcome=st.sampled_from(_OUTCOMES))
+    def complete(self, pick: int, outcome: Outcome) -> None:
+        """End a run; all but a refused one count as run for ever."""
+        if not self.running:
+            return
+        text = sorted(self.running)[pick % len(self.running)]
+        self.ledger.complete(self.running.pop(text), outcome)
+        if not (outcome.is_error() and isinstance(outcome.error, NotRun)):
+            self.may_have_run.add(text)
+
+    @invariant()
+    def bounded(self) -> None:
+        """Memory stays bounded by the limit or by what is running."""
+        assert len(self.ledger) <= max(3, len(self.running))
+        assert self.ledger.running() == len(self.running)
+
+
+TestLedger = LedgerMachine.TestCase
--- /dev/null
+++ b/thrift/wire.thrift
@@ -0,0 +1,171 @@
+// Messages between nodes. Every frame on a peer connection carries one Frame;
+// every membership datagram carries one Gossip.
+namespace py savorystand.wire.gen.wire
+
+struct Header {
+  1: required string name,
+  2: required string value,
+}
+
+// The load that a target's node reports with each answer and refusal.
+struct Load {
+  1: required i32 in_flight,
+  2: required i32 queued,
+  3: required i32 limit,
+  // Lowest importance rank that the node admits at the moment.
+  4: required i16 admitted_rank,
+  // Expected queueing plus service time of a new call, in milliseconds.
+  5: required i32 expected_ms,
+}
+
+struct CallContext {
+  1: required string request_id,
+  2: required string execution_id,
+  3: required i32 remaining_ms,
+  4: required i16 retries_left,
+  5: required i16 rank,
+}
+
+struct Hello {
+  1: required string node_id,
+  2: required i32 version,
+  3: required string address,
+}
+
+struct CallStart {
+  1: required i64 stream,
+  2: required CallContext context,
+  3: required string route,
+  4: required string method,
+  5: required string path,
+  6: required list<Header> headers,
+  7: required binary body,
+  8: required bool last,
+  // Set when the call is forwarded to the home node of its idempotency key.
+  9: optional bool to_home,
+  10: required i64 body_size,
+  11: optional string key,
+}
+
+struct BodyChunk {
+  1: required i64 stream,
+  2: required binary body,
+  3: required bool last,
+}
+
+struct AnswerStart {
+  1: required i64 stream,
+  2: required i32 status,
+  3: required list<Header> headers,
+  4: required binary body,
+  5: required bool last,
+  6: required i16 retries_left,
+  7: required Load load,
+  8: required i64 body_size,
+}
+
+struct Refused {
+  1: required i64 stream,
+  2: required bool may_have_run,
+  3: required string reason,
+  4: required string detail,
+  5: required i32 retry_after_ms,
+  6: required i16 retries_left,
+  7: optional Load load,
+  // The failure happened at a deeper hop, which already spent the retries.
+  8: optional bool from_below,
+}
+
+struct Cancel {
+  1: required i64 stream,
+}
+
+struct Ping {
+  1: required i64 sequence,
+}
+
+struct Pong {
+  1: required i64 sequence,
+}
+
+struct Member {
+  1: required string node_id,
+  2: required i64 started_ms,
+  3: required i64 version,
+  4: required i16 state,
+  5: required string host,
+  6: required i32 port,
+  7: required string failure_domain,
+  8: required string region,
+  9: required string pool,
+  10: required i64 revision,
+}
+
+struct TablesPull {
+  1: required i64 known_revision,
+}
+
+struct TablesPush {
+  1: required i64 revision,
+  2: required string routes,
+  3: required string pools,
+  4: required string change_id,
+}
+
+struct BucketDigest {
+  1: required i16 bucket,
+  2: required i64 digest,
+}
+
+struct DigestPull {
+  1: required list<BucketDigest> buckets,
+}
+
+struct MembersPush {
+  1: required list<Member> members,
+  2: required list<i16> wanted,
+}
+
+struct Leaving {
+  1: required string node_id,
+}
+
+union Frame {
+  1: Hello hello,
+  2: CallStart call,
+  3: BodyChunk chunk,
+  4: AnswerStart answer,
+  5: Refused refused,
+  6: Cancel cancel,
+  7: Ping ping,
+  8: Pong pong,
+  9: TablesPull tables_pull,
+  10: TablesPush tables_push,
+  11: DigestPull digest_pull,
+  12: MembersPush members_push,
+  13: Leaving leaving,
+}
+
+struct Probe {
+  1: required i64 sequence,
+}
+
+struct ProbeAck {
+  1: required i64 sequence,
+}
+
+struct ProbeRequest {
+  1: required i64 sequence,
+  2: required string node_id,
+  3: required string host,
+  4: required i32 port,
+}
+
+struct Gossip {
+  1: required string sender,
+  2: required i64 revision,
+  3: optional Probe probe,
+  4: optional ProbeAck ack,
+  5: optional ProbeRequest request,
+  6: required list<Member> updates,
+}
