Prove at most once and true verdicts under faults

Change: a fuzz test drives real key runners through replaced nodes, a lossy store, cut links and abandoned runs; another cuts or silences a connection at any byte. A fault in one call no longer ends the node. Graceful shutdown, announcements and the node program are wired.

--- a/src/savorystand/admission/queue.py
+++ b/src/savorystand/admission/queue.py
@@ -42,13 +42,21 @@
 class AdmissionQueue:
     """Slots of the own target and the calls that wait for one."""
 
-    __slots__ = ('_clock', '_in_flight', '_limit', '_order', '_waiting')
+    __slots__ = (
+        '_clock',
+        '_closed',
+        '_in_flight',
+        '_limit',
+        '_order',
+        '_waiting',
+    )
 
     def __init__(self, *, clock: Clock) -> None:
         """Start with one slot until the pool's row is known."""
         self._clock = clock
         self._limit = 1
         self._in_flight = 0
+        self._closed = False
         self._waiting: list[_Waiter] = []
         self._order = itertools.count()
 
@@ -69,8 +77,14 @@
         """Return the number of calls that run or wait."""
         return self._in_flight + len(self._waiting)
 
+    def close_to_new_work(self) -> None:
+        """Refuse every call from now on with ``draining``."""
+        self._closed = True
+
     async def admit(self, call: Call) -> Result[Permit, NotRun]:
         """Wait for a slot until the call's deadline."""
+        if self._closed:
+            return Error(NotRun(reason=Reason.DRAINING))
         if self._in_flight < self._limit:
             self._in_flight += 1
             return Ok(Permit(call=call, admitted_ms=self._clock.now()))
--- a/src/savorystand/deduplication/runner.py
+++ b/src/savorystand/deduplication/runner.py
@@ -11,6 +11,7 @@
 import anyio
 from expression import Error
 from expression import Result
+from logbook import Logger
 
 from savorystand.call import Call
 from savorystand.call import Outcome
@@ -47,6 +48,7 @@
 Attempts: TypeAlias = Callable[[Call], Awaitable[Outcome]]
 
 _DRAIN_POLL_MS = 20
+_log = Logger('savorystand')
 
 
 class KeyedRunner(Service):
@@ -185,6 +187,9 @@
         outcome: Outcome = Error(MayHaveRun(reason=Reason.CANCELLED))
         try:
             outcome = await self._attempts(call)
+        except Exception:
+            # A fault in one run must not end the node and all other runs.
+            _log.exception('event=run_failed route={}', call.route.name)
         finally:
             self._ledger.complete(now, outcome)
 
--- a/src/savorystand/dispatch/dispatcher.py
+++ b/src/savorystand/dispatch/dispatcher.py
@@ -8,33 +8,32 @@
 
 from savorystand.clock import Clock
 from savorystand.deduplication.runner import KeyedRunner
+from savorystand.dispatch.attempts import Attempts
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 
 if TYPE_CHECKING:
     from savorystand.call import Call
     from savorystand.call import Outcome
-    from savorystand.dispatch.attempts import Attempts
     from savorystand.kernel.kernel import Kernel
 
 
 class Dispatcher:
     """Entry of calls into the system."""
 
-    __slots__ = ('_attempts', '_clock', '_kernel')
+    __slots__ = ('_clock', '_kernel')
 
-    def __init__(self, *, kernel: Kernel, attempts: Attempts) -> None:
-        """Run idempotent calls with ``attempts`` directly."""
+    def __init__(self, *, kernel: Kernel) -> None:
+        """Find attempts and keys in ``kernel``."""
         self._kernel = kernel
         self._clock = kernel.find('clock', Clock)
-        self._attempts = attempts
 
     async def call(self, call: Call) -> Outcome:
         """Serve one call whose route is known."""
         if call.context.deadline_ms <= self._clock.now():
             return Error(NotRun(reason=Reason.DEADLINE))
         if call.route.idempotent:
-            return await self._attempts.run(call)
+            return await self._kernel.find('attempts', Attempts).run(call)
         if not call.key:
             name = call.route.name
             detail = f'route {name} needs an Idempotency-Key'
--- a/src/savorystand/dispatch/inbound.py
+++ b/src/savorystand/dispatch/inbound.py
@@ -12,10 +12,13 @@
 from savorystand.admission.queue import AdmissionQueue
 from savorystand.admission.queue import Permit
 from savorystand.deduplication.runner import KeyedRunner
+from savorystand.dispatch.own_pool import OwnPool
 from savorystand.gateway.target import TargetSender
 from savorystand.retry.executions import Execution
 from savorystand.retry.executions import ExecutionLedger
 from savorystand.tables.holder import TableHolder
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
 
 if TYPE_CHECKING:
     from savorystand.call import Call
@@ -70,7 +73,14 @@
 
     async def _send(self, call: Call, execution: Execution) -> Outcome:
         target = self._kernel.find('target', TargetSender)
-        return await target.send(call, execution.execution_id)
+        outcome = await target.send(call, execution.execution_id)
+        own_pool = self._kernel.find('own pool', OwnPool)
+        match outcome:
+            case Result(tag='error', error=NotRun(reason=Reason.TARGET_FAILED)):
+                own_pool.record_unreachable()
+            case _:
+                own_pool.record_reached()
+        return outcome
 
     def _settle(self, outcome: Outcome, execution: Execution) -> Outcome:
         left = execution.retries_left
--- /dev/null
+++ b/src/savorystand/dispatch/own_pool.py
@@ -0,0 +1,69 @@
+"""The pool that the own target serves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorystand.admission.queue import AdmissionQueue
+from savorystand.membership.directory import Directory
+from savorystand.tables.holder import TableHolder
+
+if TYPE_CHECKING:
+    from savorystand.kernel.kernel import Kernel
+    from savorystand.tables.tables import Tables
+
+# Connection failures in a row after which the target counts as gone, until it
+# announces itself again.
+_MAX_FAILURES = 3
+
+
+class OwnPool:
+    """Follows the announcements of the target and the row of its pool."""
+
+    __slots__ = ('_failures', '_kernel', '_pool', '_serving')
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        """Start without a target."""
+        self._kernel = kernel
+        self._pool = ''
+        self._serving = False
+        self._failures = 0
+        kernel.find('tables', TableHolder).watch(self._follow)
+
+    def announce(self, pool: str) -> None:
+        """Take the target's word that it serves ``pool``.
+
+        It gets calls once a revision of the tables has a row for the pool.
+        """
+        if self._serving and pool == self._pool:
+            return
+        self._pool = pool
+        self._serving = False
+        self._follow(self._kernel.find('tables', TableHolder).current())
+
+    def leave(self) -> None:
+        """Take the target's word, or its silence, that it is leaving."""
+        if self._serving:
+            self._kernel.find('membership', Directory).leave()
+        self._serving = False
+        self._pool = ''
+
+    def record_unreachable(self) -> None:
+        """Count a call that found no connection to the target."""
+        self._failures += 1
+        if self._failures >= _MAX_FAILURES:
+            self.leave()
+
+    def record_reached(self) -> None:
+        """Count a call that reached the target."""
+        self._failures = 0
+
+    def _follow(self, tables: Tables) -> None:
+        row = tables.pool(self._pool)
+        if row is None:
+            return
+        self._kernel.find('admission', AdmissionQueue).set_slots(row.slots)
+        if not self._serving:
+            self._serving = True
+            self._failures = 0
+            self._kernel.find('membership', Directory).announce(self._pool)
--- a/src/savorystand/gateway/admin.py
+++ b/src/savorystand/gateway/admin.py
@@ -10,10 +10,10 @@
 from urllib.parse import urlsplit
 
 from savorystand.deduplication.runner import KeyedRunner
+from savorystand.dispatch.own_pool import OwnPool
 from savorystand.gateway.asgi import Reply
 from savorystand.gateway.asgi import json_reply
 from savorystand.gateway.headers import header
-from savorystand.membership.directory import Directory
 
 if TYPE_CHECKING:
     from savorystand.call import Headers
@@ -79,16 +79,16 @@
         *,
         from_target: bool,
     ) -> Reply:
-        directory = self._kernel.find('membership', Directory)
+        own_pool = self._kernel.find('own pool', OwnPool)
         match name:
             case 'POST /savorystand/announce' | 'POST /savorystand/leave' if (
                 not from_target
             ):
                 return json_reply({'error': 'not local'}, status=_FORBIDDEN)
             case 'POST /savorystand/announce':
-                return _announce(directory, query)
+                return _announce(own_pool, query)
             case 'POST /savorystand/leave':
-                directory.leave()
+                own_pool.leave()
                 return Reply(status=_NO_CONTENT)
             case _:
                 return json_reply({'error': name}, status=_NOT_FOUND)
@@ -111,9 +111,9 @@
         return json_reply({'status': 'ok'})
 
 
-def _announce(directory: Directory, query: Query) -> Reply:
+def _announce(own_pool: OwnPool, query: Query) -> Reply:
     pool = query.get('pool', [''])[0]
     if not pool:
         return json_reply({'error': 'pool missing'}, status=_BAD_REQUEST)
-    directory.announce(pool)
+    own_pool.announce(pool)
     return Reply(status=_NO_CONTENT)
--- a/src/savorystand/gateway/application.py
+++ b/src/savorystand/gateway/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import TypeAlias
 from typing import final
@@ -49,6 +50,7 @@
     from savorystand.tables.route import Route
 
 _ADMIN_PREFIX = '/savorystand/'
+_CLOSE = (('connection', 'close'),)
 _OFFERS_KEY = frozenset((Reason.KEY_REQUIRED, Reason.STORE_UNAVAILABLE))
 
 
@@ -70,13 +72,21 @@
 class HttpApplication:
     """Turns HTTP requests of one listener into calls."""
 
-    __slots__ = ('_admin', '_clock', '_contexts', '_kernel', '_origin')
+    __slots__ = (
+        '_admin',
+        '_clock',
+        '_closing',
+        '_contexts',
+        '_kernel',
+        '_origin',
+    )
 
     def __init__(self, *, kernel: Kernel, origin: Origin) -> None:
         """Serve requests that come from ``origin``."""
         self._kernel = kernel
         self._clock = kernel.find('clock', Clock)
         self._origin = origin
+        self._closing = False
         self._contexts = ContextFactory(kernel=kernel)
         self._admin = kernel.find('admin', AdminEndpoints)
 
@@ -97,7 +107,14 @@
         # A caller that hangs up cancels the work done for it.
         with anyio.CancelScope() as cancel_scope:
             on_disconnect(scope, cancel_scope.cancel)
-            await send_reply(send, await self._serve(request))
+            reply = await self._serve(request)
+            if self._closing:
+                reply = replace(reply, headers=reply.headers + _CLOSE)
+            await send_reply(send, reply)
+
+    def close_connections(self) -> None:
+        """Ask clients, from now on, to close after each answer."""
+        self._closing = True
 
     async def _read(self, scope: Scope, receive: Receive) -> Request:
         received_ms = self._clock.now()
--- a/src/savorystand/gateway/server.py
+++ b/src/savorystand/gateway/server.py
@@ -20,7 +20,7 @@
 
     from savorystand.gateway.application import HttpApplication
 
-_STARTED_POLL_SECONDS = 0.005
+_POLL_SECONDS = 0.005
 
 
 class _Server(Server):
@@ -33,13 +33,14 @@
 class HttpListener(Service):
     """One listener; ``uvicorn`` runs a task for each connection."""
 
-    __slots__ = ('_app', '_host', '_port', '_server')
+    __slots__ = ('_app', '_finished', '_host', '_port', '_server')
 
     def __init__(self, *, app: HttpApplication, host: str, port: int) -> None:
         """Serve ``app`` on ``host`` and ``port`` once ``run`` is called."""
         self._app = app
         self._host = host
         self._port = port
+        self._finished = anyio.Event()
         self._server = _Server(
             Config(
                 app,
@@ -63,14 +64,27 @@
         """
         sock = _bind(self._host, self._port)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._server.serve, [sock])
+            tasks.start_soon(self._serve, sock)
             while not self._server.started:
-                await anyio.sleep(_STARTED_POLL_SECONDS)
+                await anyio.sleep(_POLL_SECONDS)
             task_status.started()
 
+    def stop_accepting(self) -> None:
+        """Take no new connections; open ones close after their next answer."""
+        self._app.close_connections()
+        for server in self._server.servers:
+            server.close()
+
     async def drain(self) -> None:
-        """Stop accepting and finish the requests in progress."""
+        """Finish the requests in progress and close all connections."""
         self._server.should_exit = True
+        await self._finished.wait()
+
+    async def _serve(self, sock: socket.socket) -> None:
+        try:
+            await self._server.serve([sock])
+        finally:
+            self._finished.set()
 
 
 def _bind(host: str, port: int) -> socket.socket:
--- /dev/null
+++ b/src/savorystand/node/application.py
@@ -0,0 +1,77 @@
+"""The program ``savorystand-node``."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import anyio
+import click
+
+from savorystand.node.builder import build_node
+from savorystand.node.builder import new_node_id
+from savorystand.settings.errors import SettingsError
+from savorystand.settings.loader import load_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from savorystand.node.builder import Factory
+    from savorystand.settings.node import NodeSettings
+
+EXIT_SETTINGS = 2
+EXIT_ADDRESS = 3
+
+
+def run_node(cfg: NodeSettings, *, replace: Mapping[str, Factory]) -> None:
+    """Run a node until SIGTERM or SIGINT, then drain it.
+
+    Raises:
+        OSError: an address of the settings cannot be bound.
+    """
+    anyio.run(
+        _run_until_signal,
+        cfg,
+        replace,
+        backend_options={'use_uvloop': True},
+    )
+
+
+@click.command()
+@click.argument('settings', type=click.Path(path_type=Path))
+def main(settings: Path) -> None:
+    """Run the node that SETTINGS, a TOML file, describes."""
+    try:
+        cfg = load_settings(settings)
+    except SettingsError as exc:
+        _fail(str(exc), EXIT_SETTINGS)
+    try:
+        run_node(cfg, replace={})
+    except* OSError as group:
+        _fail(f'cannot listen: {group.exceptions[0]}', EXIT_ADDRESS)
+
+
+def _fail(message: str, code: int) -> None:
+    click.echo(f'error: {message}', err=True)
+    sys.exit(code)
+
+
+async def _run_until_signal(
+    cfg: NodeSettings,
+    replace: Mapping[str, Factory],
+) -> None:
+    kernel = build_node(cfg, node_id=new_node_id(), replace=replace)
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_watch_signals, stop)
+        await kernel.run(stop)
+        tasks.cancel_scope.cancel()
+
+
+async def _watch_signals(stop: anyio.Event) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for _ in received:
+            stop.set()
+            return
--- a/src/savorystand/node/builder.py
+++ b/src/savorystand/node/builder.py
@@ -4,7 +4,10 @@
 
 import random
 import secrets
+from collections.abc import Callable
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
+from typing import TypeAlias
 
 from savorystand.admission.queue import AdmissionQueue
 from savorystand.clock import Clock
@@ -15,6 +18,7 @@
 from savorystand.dispatch.dispatcher import Dispatcher
 from savorystand.dispatch.inbound import Inbound
 from savorystand.dispatch.local import LocalOrRemote
+from savorystand.dispatch.own_pool import OwnPool
 from savorystand.gateway.admin import AdminEndpoints
 from savorystand.gateway.application import FromCallers
 from savorystand.gateway.application import FromTarget
@@ -22,18 +26,18 @@
 from savorystand.gateway.server import HttpListener
 from savorystand.gateway.target_client import TargetClient
 from savorystand.kernel.kernel import Kernel
+from savorystand.node.departure import Departure
 from savorystand.retry.executions import ExecutionLedger
 from savorystand.retry.policy import RetryPolicy
 from savorystand.routing.router import Router
 from savorystand.tables.holder import TableHolder
-from savorystand.transport.address import PeerAddress
 from savorystand.transport.network import Network
 from savorystand.transport.peers import PeerTransport
 
 if TYPE_CHECKING:
-    from savorystand.membership.directory import Directory
     from savorystand.settings.node import NodeSettings
-    from savorystand.transport.inbound import ControlPeer
+
+Factory: TypeAlias = Callable[[Kernel], object]
 
 _ID_BYTES = 8
 
@@ -43,82 +47,85 @@
     return secrets.token_hex(_ID_BYTES)
 
 
-def own_address(cfg: NodeSettings, node_id: str) -> PeerAddress:
-    """Return the address that peers use for this node."""
-    return PeerAddress(
-        node_id=node_id,
-        host=cfg.peers.host,
-        port=cfg.peers.port,
-    )
-
-
 def build_node(
     cfg: NodeSettings,
     *,
     node_id: str,
-    directory: Directory,
-    control: ControlPeer,
+    replace: Mapping[str, Factory],
 ) -> Kernel:
-    """Return the kernel of a node, ready to run."""
+    """Return the kernel of a node, ready to run.
+
+    Services start in the order of the plan and stop in reverse. ``replace``
+    substitutes services by name; the lab injects faults with it.
+    """
+    plan = {
+        **replace,
+        **_policy_plan(),
+        **_path_plan(cfg, node_id),
+        **_listener_plan(cfg),
+    }
     kernel = Kernel()
-    kernel.register('clock', Clock())
-    kernel.register('network', Network())
-    kernel.register('tables', TableHolder())
-    kernel.register('membership', directory)
-    kernel.register('control', control)
-    _register_policy(kernel)
-    _register_path(kernel, cfg, node_id)
-    _register_listeners(kernel, cfg)
+    for name, factory in plan.items():
+        kernel.register(name, replace.get(name, factory)(kernel))
     return kernel
 
 
-def _register_policy(kernel: Kernel) -> None:
-    clock = kernel.find('clock', Clock)
-    kernel.register('executions', ExecutionLedger())
-    kernel.register('admission', AdmissionQueue(clock=clock))
-    kernel.register('retry', RetryPolicy())
-    kernel.register('routing', Router(kernel=kernel, rng=random.Random()))
-
-
-def _register_path(kernel: Kernel, cfg: NodeSettings, node_id: str) -> None:
-    target = TargetClient(
-        clock=kernel.find('clock', Clock),
-        host=cfg.target.host,
-        port=cfg.target.port,
-    )
-    kernel.register('target', target)
-    kernel.register('inbound', Inbound(kernel=kernel))
-    transport = PeerTransport(
-        kernel=kernel,
-        host=cfg.peers.host,
-        port=cfg.peers.port,
-    )
-    kernel.register('transport', transport)
-    kernel.register('peers', LocalOrRemote(kernel=kernel, node_id=node_id))
-    kernel.register('claims', NoClaims())
-    attempts = Attempts(kernel=kernel)
-    keys = KeyedRunner(
-        kernel=kernel,
-        node_id=node_id,
-        attempts=attempts.run,
-        ledger=KeyLedger(),
-    )
-    kernel.register('keys', keys)
-    kernel.register('dispatcher', Dispatcher(kernel=kernel, attempts=attempts))
-
-
-def _register_listeners(kernel: Kernel, cfg: NodeSettings) -> None:
-    admin = AdminEndpoints(kernel=kernel, admin_key=cfg.admin_key)
-    kernel.register('admin', admin)
-    local = HttpListener(
-        app=HttpApplication(kernel=kernel, origin=FromTarget()),
-        host=cfg.local.host,
-        port=cfg.local.port,
-    )
-    kernel.register('local listener', local)
-    callers = HttpListener(
-        app=HttpApplication(kernel=kernel, origin=FromCallers()),
-        host=cfg.callers.host,
-        port=cfg.callers.port,
-    )
-    kernel.register('caller listener', callers)
+def _policy_plan() -> dict[str, Factory]:
+    return {
+        'clock': lambda kernel: Clock(),
+        'network': lambda kernel: Network(),
+        'tables': lambda kernel: TableHolder(),
+        'executions': lambda kernel: ExecutionLedger(),
+        'admission': lambda kernel: AdmissionQueue(
+            clock=kernel.find('clock', Clock),
+        ),
+        'retry': lambda kernel: RetryPolicy(),
+        'routing': lambda kernel: Router(kernel=kernel, rng=random.Random()),
+    }
+
+
+def _path_plan(cfg: NodeSettings, node_id: str) -> dict[str, Factory]:
+    return {
+        'target': lambda kernel: TargetClient(
+            clock=kernel.find('clock', Clock),
+            host=cfg.target.host,
+            port=cfg.target.port,
+        ),
+        'transport': lambda kernel: PeerTransport(
+            kernel=kernel,
+            host=cfg.peers.host,
+            port=cfg.peers.port,
+        ),
+        'peers': lambda kernel: LocalOrRemote(kernel=kernel, node_id=node_id),
+        'claims': lambda kernel: NoClaims(),
+        'attempts': lambda kernel: Attempts(kernel=kernel),
+        'keys': lambda kernel: KeyedRunner(
+            kernel=kernel,
+            node_id=node_id,
+            attempts=kernel.find('attempts', Attempts).run,
+            ledger=KeyLedger(),
+        ),
+        'own pool': lambda kernel: OwnPool(kernel=kernel),
+        'inbound': lambda kernel: Inbound(kernel=kernel),
+        'dispatcher': lambda kernel: Dispatcher(kernel=kernel),
+    }
+
+
+def _listener_plan(cfg: NodeSettings) -> dict[str, Factory]:
+    return {
+        'admin': lambda kernel: AdminEndpoints(
+            kernel=kernel,
+            admin_key=cfg.admin_key,
+        ),
+        'local listener': lambda kernel: HttpListener(
+            app=HttpApplication(kernel=kernel, origin=FromTarget()),
+            host=cfg.local.host,
+            port=cfg.local.port,
+        ),
+        'caller listener': lambda kernel: HttpListener(
+            app=HttpApplication(kernel=kernel, origin=FromCallers()),
+            host=cfg.callers.host,
+            port=cfg.callers.port,
+        ),
+        'departure': lambda kernel: Departure(kernel=kernel),
+    }
--- /dev/null
+++ b/src/savorystand/node/departure.py
@@ -0,0 +1,43 @@
+"""Graceful shutdown of a node."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorystand.admission.queue import AdmissionQueue
+from savorystand.clock import Clock
+from savorystand.gateway.server import HttpListener
+from savorystand.kernel.service import Service
+from savorystand.membership.directory import Directory
+
+if TYPE_CHECKING:
+    from savorystand.kernel.kernel import Kernel
+
+# Peers get this long to stop sending; after it new work is refused, so that
+# a lost leave message does not matter.
+LEAVE_MS = 3000
+_POLL_MS = 20
+
+
+class Departure(Service):
+    """Registered last, so that its drain comes before all others."""
+
+    __slots__ = ('_kernel',)
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        """Find membership, admission and listeners in ``kernel``."""
+        self._kernel = kernel
+
+    async def drain(self) -> None:
+        """Leave, wait for peers to notice, finish what is in progress.
+
+        No time limit cuts a request; its own deadline ends it.
+        """
+        clock = self._kernel.find('clock', Clock)
+        admission = self._kernel.find('admission', AdmissionQueue)
+        self._kernel.find('membership', Directory).leave()
+        self._kernel.find('caller listener', HttpListener).stop_accepting()
+        await clock.sleep(LEAVE_MS)
+        admission.close_to_new_work()
+        while admission.in_progress():
+            await clock.sleep(_POLL_MS)
--- /dev/null
+++ b/src/savorystand/transport/observers.py
@@ -0,0 +1,34 @@
+"""Who is told what peers report."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TypeAlias
+
+from savorystand.call import TargetLoad
+from savorystand.transport.address import PeerAddress
+from savorystand.wire.codec import Message
+
+LoadObserver: TypeAlias = Callable[[PeerAddress, TargetLoad], None]
+ControlObserver: TypeAlias = Callable[[PeerAddress, Message], None]
+
+
+class PeerObservers:
+    """Passes load reports and control frames on to the services."""
+
+    __slots__ = ('control_observers', 'load_observers')
+
+    def __init__(self) -> None:
+        """Start without observers."""
+        self.load_observers: list[LoadObserver] = []
+        self.control_observers: list[ControlObserver] = []
+
+    def load(self, peer: PeerAddress, load: TargetLoad) -> None:
+        """Pass on the load report of a peer."""
+        for observer in self.load_observers:
+            observer(peer, load)
+
+    def control(self, peer: PeerAddress, frame: Message) -> None:
+        """Pass on a control frame that a peer answered."""
+        for observer in self.control_observers:
+            observer(peer, frame)
--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -2,40 +2,37 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import TYPE_CHECKING
-from typing import TypeAlias
 
 import anyio
 
-from savorystand.call import Call
-from savorystand.call import Outcome
-from savorystand.call import TargetLoad
 from savorystand.clock import MS_PER_SECOND
 from savorystand.clock import Clock
 from savorystand.kernel.service import Service
-from savorystand.transport.address import PeerAddress
 from savorystand.transport.connection import PeerConnection
 from savorystand.transport.connection import not_connected
 from savorystand.transport.errors import ConnectionLostError
 from savorystand.transport.inbound import ControlPeer
 from savorystand.transport.inbound import InboundHandler
 from savorystand.transport.network import Network
+from savorystand.transport.observers import ControlObserver
+from savorystand.transport.observers import LoadObserver
+from savorystand.transport.observers import PeerObservers
 from savorystand.transport.server import ServerConnection
-from savorystand.wire.codec import Message
 
 if TYPE_CHECKING:
     from anyio.abc import ByteStream
     from anyio.abc import TaskGroup
     from anyio.abc import TaskStatus
 
+    from savorystand.call import Call
+    from savorystand.call import Outcome
     from savorystand.kernel.kernel import Kernel
+    from savorystand.transport.address import PeerAddress
+    from savorystand.wire.codec import Message
 
 _CONNECT_MS = 1000
-
-
-LoadObserver: TypeAlias = Callable[[PeerAddress, TargetLoad], None]
-ControlObserver: TypeAlias = Callable[[PeerAddress, Message], None]
+_DRAIN_POLL_MS = 20
 
 
 class PeerTransport(Service):
@@ -44,12 +41,12 @@
     __slots__ = (
         '_clock',
         '_connections',
-        '_control_observers',
         '_host',
         '_kernel',
-        '_load_observers',
+        '_observers',
         '_locks',
         '_port',
+        '_serving',
         '_tasks',
     )
 
@@ -61,17 +58,17 @@
         self._port = port
         self._connections: dict[PeerAddress, PeerConnection] = {}
         self._locks: dict[PeerAddress, anyio.Lock] = {}
-        self._load_observers: list[LoadObserver] = []
-        self._control_observers: list[ControlObserver] = []
+        self._observers = PeerObservers()
+        self._serving: set[ServerConnection] = set()
         self._tasks: TaskGroup | None = None
 
     def on_load(self, observer: LoadObserver) -> None:
         """Pass each load report of a peer to ``observer``."""
-        self._load_observers.append(observer)
+        self._observers.load_observers.append(observer)
 
     def on_control(self, observer: ControlObserver) -> None:
         """Pass each control frame that a peer answers to ``observer``."""
-        self._control_observers.append(observer)
+        self._observers.control_observers.append(observer)
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Accept connections from peers until cancelled.
@@ -86,6 +83,11 @@
             task_status.started()
             await listener.serve(self._serve)
 
+    async def drain(self) -> None:
+        """Wait until all calls of peers are answered."""
+        while any(conn.busy() for conn in self._serving):
+            await self._clock.sleep(_DRAIN_POLL_MS)
+
     async def call(self, peer: PeerAddress, call: Call) -> Outcome:
         """Make a call to a peer over its connection, opening it if needed."""
         try:
@@ -138,8 +140,8 @@
         stream = await self._connect(peer)
         conn = PeerConnection(
             clock=self._clock,
-            on_load=lambda load: self._observe_load(peer, load),
-            on_control=lambda frame: self._observe_control(peer, frame),
+            on_load=lambda load: self._observers.load(peer, load),
+            on_control=lambda frame: self._observers.control(peer, frame),
         )
         self._connections[peer] = conn
         self._tasks.start_soon(conn.run, stream)
@@ -160,12 +162,8 @@
             inbound=self._kernel.find('inbound', InboundHandler),
             control=self._kernel.find('control', ControlPeer),
         )
-        await conn.run(stream)
-
-    def _observe_load(self, peer: PeerAddress, load: TargetLoad) -> None:
-        for observer in self._load_observers:
-            observer(peer, load)
-
-    def _observe_control(self, peer: PeerAddress, frame: Message) -> None:
-        for observer in self._control_observers:
-            observer(peer, frame)
+        self._serving.add(conn)
+        try:
+            await conn.run(stream)
+        finally:
+            self._serving.discard(conn)
--- a/src/savorystand/transport/server.py
+++ b/src/savorystand/transport/server.py
@@ -6,6 +6,7 @@
 
 import anyio
 from expression import Result
+from logbook import Logger
 
 from savorystand.transport.assembly import BodyAssembly
 from savorystand.transport.connection import MAX_STREAMS
@@ -15,6 +16,7 @@
 from savorystand.transport.conversion import refusal_frame
 from savorystand.transport.errors import STREAM_ERRORS
 from savorystand.transport.writer import FrameWriter
+from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 from savorystand.verdict import Refusal
@@ -32,6 +34,7 @@
     from savorystand.transport.inbound import InboundHandler
 
 _RECEIVE_BYTES = 65536
+_log = Logger('savorystand')
 
 
 class ServerConnection:
@@ -76,6 +79,10 @@
         """Send a control frame to the peer."""
         self._writer.send(frame)
 
+    def busy(self) -> bool:
+        """Return True while calls run or answers wait to be written."""
+        return bool(self._scopes) or not self._writer.idle()
+
     async def _read(self, stream: ByteStream, tasks: TaskGroup) -> None:
         frames = FrameBuffer()
         while True:
@@ -148,6 +155,10 @@
         try:
             with scope:
                 await self._reply(stream, await self._inbound.serve(call))
+        except Exception:
+            # A fault in one call must not end the connection and the others.
+            _log.exception('event=call_failed route={}', call.route.name)
+            self._refuse(stream, MayHaveRun(reason=Reason.TARGET_FAILED))
         finally:
             self._scopes.pop(stream, None)
 
--- a/src/savorystand/transport/writer.py
+++ b/src/savorystand/transport/writer.py
@@ -52,6 +52,10 @@
         self._chunks.append(encoded)
         self._wake.set()
 
+    def idle(self) -> bool:
+        """Return True if nothing waits to be written."""
+        return not self._urgent and not self._chunks
+
     async def run(self, stream: ByteSendStream) -> None:
         """Write queued frames until cancelled.
 
@@ -60,7 +64,7 @@
             anyio.ClosedResourceError: the connection was closed.
         """
         while True:
-            if not self._urgent and not self._chunks:
+            if self.idle():
                 self._wake = anyio.Event()
                 await self._wake.wait()
             await stream.send(self._next_batch())
--- /dev/null
+++ b/tests/deduplication/test_runner.py
@@ -0,0 +1,326 @@
+"""Failures: a request runs twice, or a refusal says not-run of one that ran."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+import anyio
+from anyio.lowlevel import checkpoint
+from expression import Error
+from expression import Ok
+from expression import Result
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from savorystand.call import Answer
+from savorystand.call import Call
+from savorystand.call import CallContext
+from savorystand.call import Importance
+from savorystand.clock import ManualClock
+from savorystand.deduplication.claims import Claimed
+from savorystand.deduplication.claims import HeldElsewhere
+from savorystand.deduplication.claims import Unresolved
+from savorystand.deduplication.ledger import KeyLedger
+from savorystand.deduplication.runner import KeyedRunner
+from savorystand.kernel.kernel import Kernel
+from savorystand.membership.member import Member
+from savorystand.membership.member import MemberState
+from savorystand.tables.route import Route
+from savorystand.transport.address import PeerAddress
+from savorystand.verdict import MayHaveRun
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from savorystand.call import Outcome
+    from savorystand.deduplication.claims import Claim
+
+_SLOTS = 3
+# Enough turns of the event loop for each task to reach its next wait.
+_SETTLE_ROUNDS = 20
+_ROUTE = Route(
+    name='confirm',
+    method='POST',
+    path='/refill/confirm',
+    pool='refill',
+    importance=Importance.CRITICAL,
+    idempotent=False,
+)
+_ANSWER = Answer(status=200, headers=(), body=b'done')
+
+
+@dataclass(slots=True, frozen=True)
+class SendCall:
+    """A caller sends the request with one of the keys to one of the nodes."""
+
+    key: int
+    node: int
+
+
+@dataclass(slots=True, frozen=True)
+class ReplaceNode:
+    """A node is replaced; its memory is lost and its runs are abandoned."""
+
+    node: int
+
+
+@dataclass(slots=True, frozen=True)
+class SetStore:
+    """The table service works, is down, or loses answers after its writes."""
+
+    mode: str
+
+
+@dataclass(slots=True, frozen=True)
+class SetLink:
+    """Two nodes can or cannot reach each other, or lose answers."""
+
+    node: int
+    mode: str
+
+
+@dataclass(slots=True, frozen=True)
+class EndRun:
+    """A pending attempt at a target ends."""
+
+    pick: int
+    outcome: Outcome = field(compare=False)
+
+
+Step: TypeAlias = SendCall | ReplaceNode | SetStore | SetLink | EndRun
+
+_steps = st.one_of(
+    st.builds(SendCall, key=st.integers(0, 5), node=st.integers(0, 2)),
+    st.builds(SendCall, key=st.integers(0, 5), node=st.integers(0, 2)),
+    st.builds(ReplaceNode, node=st.integers(0, 2)),
+    st.builds(SetStore, mode=st.sampled_from(['up', 'down', 'lossy'])),
+    st.builds(
+        SetLink,
+        node=st.integers(0, 2),
+        mode=st.sampled_from(['up', 'cut', 'lossy']),
+    ),
+    st.builds(
+        EndRun,
+        pick=st.integers(0, 9),
+        outcome=st.sampled_from(
+            [
+                Ok(_ANSWER),
+                Error(NotRun(reason=Reason.OVERLOADED)),
+                Error(MayHaveRun(reason=Reason.CONNECTION_LOST)),
+            ]
+        ),
+    ),
+)
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt at a target: not-run until it ends otherwise."""
+
+    key: str
+    done: anyio.Event = field(default_factory=anyio.Event)
+    outcome: Outcome = field(
+        default_factory=lambda: Error(MayHaveRun(reason=Reason.CANCELLED)),
+    )
+
+
+@dataclass(slots=True)
+class Estate:
+    """Three nodes, a table service and an oracle of what may have run."""
+
+    tasks: TaskGroup
+    rows: dict[str, tuple[str, str]] = field(default_factory=dict)
+    store: str = 'up'
+    links: dict[int, str] = field(default_factory=dict)
+    nodes: list[NodeUnderTest] = field(default_factory=list)
+    pending: list[Attempt] = field(default_factory=list)
+    started: dict[str, int] = field(default_factory=dict)
+    keys: list[str] = field(default_factory=list)
+    lives: int = 0
+
+    async def start(self) -> None:
+        """Start three nodes; half of the keys are issued ones."""
+        for slot in range(_SLOTS):
+            self.nodes.append(await self._new_node(slot))
+        issued = [node.runner.issuer.issue() for node in self.nodes]
+        self.keys = [*issued, 'own-a', 'own-b', 'own-c']
+
+    async def replace(self, slot: int) -> None:
+        """Replace a node."""
+        self.nodes[slot].scope.cancel()
+        self.nodes[slot] = await self._new_node(slot)
+
+    async def _new_node(self, slot: int) -> NodeUnderTest:
+        self.lives += 1
+        node = NodeUnderTest(estate=self, slot=slot, life=self.lives)
+        await self.tasks.start(node.run)
+        return node
+
+
+class NodeUnderTest:
+    """A real key runner; what it asks of other services is faked here."""
+
+    def __init__(self, *, estate: Estate, slot: int, life: int) -> None:
+        """Start one life of a node."""
+        self.estate = estate
+        self.slot = slot
+        self.node_id = f'n{life}'
+        self.scope = anyio.CancelScope()
+        kernel = Kernel()
+        kernel.register('clock', ManualClock())
+        for name in ('membership', 'peers', 'claims'):
+            kernel.register(name, self)
+        self.runner = KeyedRunner(
+            kernel=kernel,
+            node_id=self.node_id,
+            attempts=self.attempt,
+            ledger=KeyLedger(max_records=1),
+        )
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Host the runs until this life ends."""
+        with self.scope:
+            await self.runner.run(task_status=task_status)
+
+    async def attempt(self, call: Call) -> Outcome:
+        """Begin an attempt that a later step ends; two at once are a fault."""
+        started = self.estate.started
+        assert started.get(call.key, 0) == 0, 'the request runs twice'
+        started[call.key] = 1
+        attempt = Attempt(key=call.key)
+        self.estate.pending.append(attempt)
+        await attempt.done.wait()
+        return attempt.outcome
+
+    async def claim(self, key: str, attempt: str) -> Claim:
+        """Insert if absent; a lossy store writes and says nothing."""
+        await checkpoint()
+        if self.estate.store == 'down':
+            return Unresolved(detail='down')
+        mine = (self.node_id, attempt)
+        held = self.estate.rows.setdefault(key, mine)
+        if self.estate.store == 'lossy':
+            return Unresolved(detail='answer lost')
+        return Claimed() if held == mine else HeldElsewhere(node_id=held[0])
+
+    async def call(self, peer: PeerAddress, call: Call) -> Outcome:
+        """Forward to the home, over a link that may lose either way."""
+        await checkpoint()
+        homes = [
+            node for node in self.estate.nodes if node.node_id == peer.node_id
+        ]
+        mode = self.estate.links.get(self.slot, 'up')
+        if not homes or mode == 'cut':
+            return Error(NotRun(reason=Reason.CONNECTION_LOST))
+        outcome = await homes[0].runner.serve_home(call)
+        if mode == 'lossy':
+            return Error(MayHaveRun(reason=Reason.CONNECTION_LOST))
+        return outcome
+
+    def lookup(self, node_id: str) -> Member | None:
+        """Know every life; membership may lag behind."""
+        return Member(
+            peer=PeerAddress(node_id=node_id, host='127.0.0.1', port=1),
+            started_ms=0,
+            version=0,
+            state=MemberState.SERVING,
+            failure_domain='a',
+            region='a',
+            pool='refill',
+        )
+
+    def myself(self) -> None:
+        """Belong to the protocol of the directory."""
+
+    def serving(self) -> None:
+        """Belong to the protocol of the directory."""
+
+    def members(self) -> None:
+        """Belong to the protocol of the directory."""
+
+    def announce(self) -> None:
+        """Belong to the protocol of the directory."""
+
+    def leave(self) -> None:
+        """Belong to the protocol of the directory."""
+
+
+async def _send(estate: Estate, step: SendCall) -> None:
+    node = estate.nodes[step.node]
+    key = estate.keys[step.key]
+    context = CallContext(
+        request_id='r',
+        execution_id='',
+        deadline_ms=10000,
+        retries_left=2,
+        importance=Importance.CRITICAL,
+    )
+    call = Call(
+        context=context,
+        route=_ROUTE,
+        method='POST',
+        path='/refill/confirm',
+        headers=(),
+        body=b'bin 7',
+        key=key,
+    )
+    match await node.runner.call(call):
+        case Result(tag='ok', ok=answer):
+            assert answer == _ANSWER
+            assert estate.started[key] == 1
+        case Result(error=NotRun()):
+            assert estate.started.get(key, 0) == 0, 'not-run was false'
+        case _:
+            return
+
+
+async def _apply(estate: Estate, step: Step) -> None:
+    match step:
+        case SendCall():
+            estate.tasks.start_soon(_send, estate, step)
+        case ReplaceNode(node=slot):
+            await estate.replace(slot)
+        case SetStore(mode=mode):
+            estate.store = mode
+        case SetLink(node=slot, mode=mode):
+            estate.links[slot] = mode
+        case EndRun(pick=pick, outcome=outcome):
+            _end_run(estate, pick, outcome)
+
+
+def _end_run(estate: Estate, pick: int, outcome: Outcome) -> None:
+    if not estate.pending:
+        return
+    attempt = estate.pending.pop(pick % len(estate.pending))
+    if outcome.is_error() and isinstance(outcome.error, NotRun):
+        estate.started[attempt.key] = 0
+    attempt.outcome = outcome
+    attempt.done.set()
+
+
+async def _settle() -> None:
+    for _ in range(_SETTLE_ROUNDS):
+        await checkpoint()
+
+
+async def _play(steps: list[Step]) -> None:
+    async with anyio.create_task_group() as tasks:
+        estate = Estate(tasks=tasks)
+        await estate.start()
+        for step in steps:
+            await _apply(estate, step)
+            await _settle()
+        tasks.cancel_scope.cancel()
+
+
+@settings(max_examples=500)
+@given(steps=st.lists(_steps, max_size=30))
+def test_request_runs_at_most_once(steps: list[Step]) -> None:
+    """No interleaving of faults runs a key twice or makes a verdict false."""
+    anyio.run(_play, steps)
--- /dev/null
+++ b/tests/transport/test_connection.py
@@ -0,0 +1,172 @@
+"""Failures: a false verdict, a foreign answer or a truncated answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+
+import anyio
+from expression import Error
+from expression import Ok
+from expression import Result
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from savorystand.call import Answer
+from savorystand.call import Call
+from savorystand.call import CallContext
+from savorystand.call import Importance
+from savorystand.call import TargetLoad
+from savorystand.clock import Clock
+from savorystand.tables.route import Route
+from savorystand.transport.connection import PeerConnection
+from savorystand.transport.server import ServerConnection
+from savorystand.verdict import MayHaveRun
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+from tests.streams import faulty_pair
+
+if TYPE_CHECKING:
+    from savorystand.call import Outcome
+
+_ROUTE = Route(
+    name='lookup',
+    method='POST',
+    path='/lookup',
+    pool='catalog',
+    importance=Importance.HIGH,
+    idempotent=True,
+)
+
+
+@dataclass(slots=True)
+class Recorder:
+    """A target that records what it saw and refuses some calls."""
+
+    refuse: frozenset[str]
+    seen: set[str] = field(default_factory=set)
+
+    def route(self, name: str) -> Route | None:
+        """Know one route."""
+        return _ROUTE if name == _ROUTE.name else None
+
+    def load(self) -> TargetLoad:
+        """Report no load."""
+        return TargetLoad()
+
+    async def serve(self, call: Call) -> Outcome:
+        """Echo the body twice, or refuse without running."""
+        if call.path in self.refuse:
+            return Error(NotRun(reason=Reason.OVERLOADED))
+        self.seen.add(call.path)
+        await anyio.sleep(0)
+        return Ok(Answer(status=200, headers=(), body=call.body * 2))
+
+
+class NoControl:
+    """Answers no control frame."""
+
+    def answer(self, frame: Any) -> None:
+        """Leave the frame unanswered."""
+
+
+def _call(number: int, size: int, deadline_ms: float) -> Call:
+    return Call(
+        context=CallContext(
+            request_id=str(number),
+            execution_id='',
+            deadline_ms=deadline_ms,
+            retries_left=2,
+            importance=Importance.HIGH,
+        ),
+        route=_ROUTE,
+        method='POST',
+        path=f'/lookup/{number}',
+        headers=(('accept', '*/*'),),
+        body=bytes([number % 251]) * size,
+    )
+
+
+async def _exchange(
+    sizes: list[int],
+    recorder: Recorder,
+    cuts: dict[str, Any],
+) -> dict[int, Outcome]:
+    clock = Clock()
+    near, far = faulty_pair(**cuts)
+    conn = PeerConnection(
+        clock=clock,
+        on_load=lambda load: None,
+        on_control=lambda frame: None,
+    )
+    server = ServerConnection(
+        clock=clock,
+        inbound=recorder,
+        control=NoControl(),
+    )
+    outcomes: dict[int, Outcome] = {}
+
+    async def make_call(number: int, size: int) -> None:
+        call = _call(number, size, clock.now() + 5000)
+        outcomes[number] = await conn.call(call)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(conn.run, near)
+        tasks.start_soon(server.run, far)
+        async with anyio.create_task_group() as calls:
+            for number, size in enumerate(sizes):
+                calls.start_soon(make_call, number, size)
+        tasks.cancel_scope.cancel()
+    return outcomes
+
+
+def _check(
+    sizes: list[int],
+    recorder: Recorder,
+    outcomes: dict[int, Outcome],
+) -> None:
+    for number, size in enumerate(sizes):
+        match outcomes[number]:
+            case Result(tag='ok', ok=answer):
+                assert answer.body == bytes([number % 251]) * size * 2
+            case Result(error=NotRun()):
+                assert f'/lookup/{number}' not in recorder.seen
+            case Result(error=refusal):
+                assert isinstance(refusal, MayHaveRun)
+
+
+@settings(max_examples=60)
+@given(
+    sizes=st.lists(st.integers(0, 60000), min_size=1, max_size=6),
+    refused=st.frozensets(st.integers(0, 5)),
+    cut_request=st.none() | st.integers(0, 150000),
+    cut_answer=st.none() | st.integers(0, 150000),
+)
+def test_cut_connection_gives_true_verdicts(
+    sizes: list[int],
+    refused: frozenset[int],
+    cut_request: int | None,
+    cut_answer: int | None,
+) -> None:
+    """A connection cut at any byte neither lies nor passes on a part."""
+    recorder = Recorder(
+        refuse=frozenset(f'/lookup/{number}' for number in refused),
+    )
+    cuts = {
+        'cut_request_after': cut_request,
+        'cut_answer_after': cut_answer,
+    }
+    outcomes = anyio.run(_exchange, sizes, recorder, cuts)
+    _check(sizes, recorder, outcomes)
+
+
+def test_silent_connection_is_given_up() -> None:
+    """Calls on a connection that went silent end before their deadline."""
+    recorder = Recorder(refuse=frozenset())
+    cuts = {'cut_answer_after': 10, 'silent': True}
+    outcomes = anyio.run(_exchange, [10, 20], recorder, cuts)
+    for outcome in outcomes.values():
+        assert outcome.error == MayHaveRun(reason=Reason.CONNECTION_LOST)
