Add tables, settings, platform client and claims

Nodes had no way to load settings, to read or publish tables, or to bind callers' own keys, and there was no platform to test against.

Settings and tables are checked with the line of each fault. The platform client speaks DynamoDB's JSON protocol and S3's REST interface and tells operations without effect from those of unknown effect. Edits are settled by the change id in the item of the revision, claims by the attempt id in the row. The lab has a stand-in of both services with injected faults, and operators have commands for tables and settings.

Tests compare two editors and two claiming nodes with an oracle under lost answers, late writes and outages, and run the client against the stand-in over loopback.

--- /dev/null
+++ b/src/savorystand/console/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of operators."""
--- /dev/null
+++ b/src/savorystand/console/application.py
@@ -0,0 +1,44 @@
+"""The operators' program."""
+
+from __future__ import annotations
+
+import click
+
+from savorystand.console.commands import settings_check
+from savorystand.console.commands import tables_apply
+from savorystand.console.commands import tables_check
+from savorystand.console.commands import tables_diff
+from savorystand.console.commands import tables_history
+from savorystand.console.commands import tables_show
+
+
+@click.group('savorystand')
+def savorystand() -> None:
+    """Edit the tables and check the settings of nodes.
+
+    Exit codes: 0 done, 1 refused or conflict, 2 wrong usage, 3 platform
+    unreachable, 4 the outcome is unknown.
+    """
+
+
+@savorystand.group('tables')
+def tables() -> None:
+    """Check, compare, publish and show routes and pools."""
+
+
+@savorystand.group('settings')
+def settings() -> None:
+    """Check the settings of a node."""
+
+
+tables.add_command(tables_apply.apply)
+tables.add_command(tables_check.check)
+tables.add_command(tables_diff.diff)
+tables.add_command(tables_history.history)
+tables.add_command(tables_show.show)
+settings.add_command(settings_check.check)
+
+
+def main() -> None:
+    """Run the program."""
+    savorystand()
--- /dev/null
+++ b/src/savorystand/console/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the operators, one to a module."""
--- /dev/null
+++ b/src/savorystand/console/commands/tables_show.py
@@ -0,0 +1,94 @@
+"""Shows an accepted revision."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import asdict
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
+
+import click
+
+from savorystand.console.failures import CommandError
+from savorystand.console.output import json_option
+from savorystand.console.output import write_success
+from savorystand.console.platform import open_platform
+from savorystand.console.platform import platform_options
+from savorystand.console.platform import run_command
+from savorystand.console.revisions import fetch_newest
+
+if TYPE_CHECKING:
+    from savorystand.tables.document import TablesDocument
+    from savorystand.tables.repository import TableRepository
+
+_CommandT = TypeVar('_CommandT', bound=Callable[..., Any])
+_NEW_FILE = click.Path(dir_okay=False, path_type=Path)
+
+
+def _new_files(command: _CommandT) -> _CommandT:
+    decorators = (
+        click.option('--overwrite', is_flag=True, help='Replace the files.'),
+        click.argument('pools', type=_NEW_FILE, required=False),
+        click.argument('routes', type=_NEW_FILE, required=False),
+    )
+    for decorator in decorators:
+        command = decorator(command)
+    return command
+
+
+@click.command('show')
+@_new_files
+@click.option('--revision', type=click.IntRange(min=1), help='Not the newest.')
+@platform_options
+@json_option
+def show(
+    *,
+    routes: Path | None,
+    pools: Path | None,
+    revision: int | None,
+    overwrite: bool,
+    as_json: bool,
+    **options: Any,
+) -> None:
+    """Show a revision, or write its texts to the files ROUTES and POOLS."""
+    if routes is not None and pools is None:
+        raise click.UsageError('name both files or none')
+    access = open_platform(**options)
+    document = run_command(
+        lambda: _fetch(access.repository(), revision),
+        as_json=as_json,
+    )
+    if document is None:
+        raise CommandError('there is no revision yet', as_json=as_json)
+    head = f'revision={document.revision} change_id={document.change_id}'
+    lines: tuple[str, ...] = (head,)
+    if routes is None or pools is None:
+        lines = (head, document.routes, document.pools)
+    else:
+        _save(routes, document.routes, overwrite, as_json=as_json)
+        _save(pools, document.pools, overwrite, as_json=as_json)
+    write_success(asdict(document), lines, as_json=as_json)
+
+
+async def _fetch(
+    repository: TableRepository,
+    revision: int | None,
+) -> TablesDocument | None:
+    if revision is None:
+        return await fetch_newest(repository)
+    return await repository.fetch(revision)
+
+
+def _save(path: Path, text: str, overwrite: bool, *, as_json: bool) -> None:
+    mode = 'w' if overwrite else 'x'
+    try:
+        with path.open(mode, encoding='utf-8', newline='') as stream:
+            stream.write(text)
+    except FileExistsError:
+        problem = f'{path}: exists; use --overwrite or name another file'
+        raise CommandError(problem, as_json=as_json) from None
+    except OSError as exc:
+        problem = f'{path}: cannot be written: {exc.strerror}'
+        raise CommandError(problem, as_json=as_json) from None
--- /dev/null
+++ b/src/savorystand/console/revisions.py
@@ -0,0 +1,46 @@
+"""Accepted revisions as commands use them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorystand.console.failures import CommandError
+from savorystand.tables.faults import TablesError
+from savorystand.tables.parser import parse_tables
+from savorystand.tables.tables import empty_tables
+
+if TYPE_CHECKING:
+    from savorystand.tables.document import TablesDocument
+    from savorystand.tables.repository import TableRepository
+    from savorystand.tables.tables import Tables
+
+
+async def fetch_newest(repository: TableRepository) -> TablesDocument | None:
+    """Return the newest revision, None if there is none.
+
+    Raises:
+        StoreError: the platform gave no answer.
+    """
+    revision = await repository.head_revision()
+    if not revision:
+        return None
+    return await repository.fetch(revision)
+
+
+def parsed_revision(
+    document: TablesDocument | None,
+    *,
+    as_json: bool,
+) -> Tables:
+    """Return the tables of a revision, empty ones for None.
+
+    Raises:
+        CommandError: the revision has faults.
+    """
+    if document is None:
+        return empty_tables()
+    try:
+        return parse_tables(document)
+    except TablesError as exc:
+        problem = f'revision {document.revision} has faults: {exc}'
+        raise CommandError(problem, as_json=as_json) from None
--- /dev/null
+++ b/src/savorystand/deduplication/breaker.py
@@ -0,0 +1,44 @@
+"""Circuit breaker in front of the table service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from savorystand.clock import Clock
+
+# A single lost answer is ordinary; three in a row mean an outage.
+_FAILURES_TO_OPEN = 3
+_PROBE_MS = 1000
+
+
+class Breaker:
+    """Opens after failures in a row, then lets one probe a second pass."""
+
+    __slots__ = ('_clock', '_failures', '_next_probe_ms')
+
+    def __init__(self, *, clock: Clock) -> None:
+        """Start closed."""
+        self._clock = clock
+        self._failures = 0
+        self._next_probe_ms: float = 0
+
+    def admit(self) -> bool:
+        """Return True if an operation may start."""
+        if self._failures < _FAILURES_TO_OPEN:
+            return True
+        now = self._clock.now()
+        if now < self._next_probe_ms:
+            return False
+        self._next_probe_ms = now + _PROBE_MS
+        return True
+
+    def succeeded(self) -> None:
+        """Close: the service answered a write."""
+        self._failures = 0
+
+    def failed(self) -> None:
+        """Count a write without an answer."""
+        self._failures += 1
+        if self._failures == _FAILURES_TO_OPEN:
+            self._next_probe_ms = self._clock.now() + _PROBE_MS
--- /dev/null
+++ b/src/savorystand/deduplication/claim_rows.py
@@ -0,0 +1,59 @@
+"""Rows that bind callers' own keys in the table service."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from savorystand.clock import MS_PER_SECOND
+from savorystand.deduplication.claims import Claimed
+from savorystand.deduplication.claims import HeldElsewhere
+from savorystand.deduplication.claims import Unresolved
+from savorystand.platform.store import Absent
+from savorystand.platform.store import Put
+
+if TYPE_CHECKING:
+    from savorystand.deduplication.claims import Claim
+    from savorystand.platform.store import Attributes
+
+# The store deletes rows some time after this age. It exceeds the age at which
+# callers still repeat a request.
+_KEPT_SECONDS = 604800
+# The table service refuses ids of more than 2,048 bytes, and one refused row
+# would fail the transaction of all others.
+_MAX_PLAIN_BYTES = 1024
+
+
+def claim_id(key: str) -> str:
+    """Return the id of the row that binds a key."""
+    raw = key.encode(errors='surrogatepass')
+    if len(raw) <= _MAX_PLAIN_BYTES and key.isprintable():
+        return f'claim#{key}'
+    digest = hashlib.sha256(raw).hexdigest()
+    return f'claim-digest#{digest}'
+
+
+def claim_put(key: str, *, node_id: str, attempt: str, wall_ms: int) -> Put:
+    """Return the insertion of a row made at ``wall_ms``."""
+    return Put(
+        id=claim_id(key),
+        attributes={
+            'node_id': node_id,
+            'attempt': attempt,
+            'expiry': wall_ms // MS_PER_SECOND + _KEPT_SECONDS,
+        },
+        condition=Absent(),
+    )
+
+
+def judge_row(row: Attributes | None, *, node_id: str, attempt: str) -> Claim:
+    """Return what a row read back says of the claim ``attempt``."""
+    if row is None:
+        # A write whose answer was lost may still arrive.
+        return Unresolved(detail=f'claim {attempt}: no row yet')
+    holder = row.get('node_id')
+    if not isinstance(holder, str):
+        return Unresolved(detail=f'claim {attempt}: malformed row')
+    if row.get('attempt') == attempt and holder == node_id:
+        return Claimed()
+    return HeldElsewhere(node_id=holder)
--- /dev/null
+++ b/src/savorystand/lab/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the lab, one to a module."""
--- /dev/null
+++ b/src/savorystand/lab/platform/application.py
@@ -0,0 +1,202 @@
+"""ASGI application of the platform's stand-in."""
+
+from __future__ import annotations
+
+import json
+import random
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import Any
+
+import anyio
+
+from savorystand.clock import MS_PER_SECOND
+from savorystand.clock import Clock
+from savorystand.gateway.asgi import Receive
+from savorystand.gateway.asgi import Reply
+from savorystand.gateway.asgi import Scope
+from savorystand.gateway.asgi import Send
+from savorystand.gateway.asgi import json_reply
+from savorystand.gateway.asgi import request_body
+from savorystand.gateway.asgi import send_reply
+from savorystand.lab.platform.behaviour import Behaviour
+from savorystand.lab.platform.behaviour import BehaviourError
+from savorystand.lab.platform.behaviour import Rates
+from savorystand.lab.platform.items import ItemTable
+from savorystand.lab.platform.items import OperationError
+from savorystand.lab.platform.items import count_items
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+# Extension by which an application closes its connection without an answer.
+CLOSE_EXTENSION = 'savorystand.close'
+_OK = 200
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+_OUTAGE_POLL_MS = 20
+
+
+class PlatformApplication:
+    """Table service and object store at one address."""
+
+    __slots__ = (
+        '_behaviour',
+        '_clock',
+        '_key',
+        '_bodies',
+        '_reads',
+        '_rng',
+        '_table',
+        '_writes',
+    )
+
+    def __init__(self, *, key: str, seed: int, behaviour: Behaviour) -> None:
+        """Accept requests that carry ``key`` as bearer token."""
+        self._key = key
+        self._rng = random.Random(seed)
+        self._behaviour = behaviour
+        self._clock = Clock()
+        self._table = ItemTable()
+        self._bodies: dict[str, bytes] = {}
+        self._reads = Rates()
+        self._writes = Rates()
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Serve one request."""
+        body = await request_body(receive)
+        if scope['path'] == '/control':
+            await send_reply(send, self._control(body))
+            return
+        await self._delay()
+        if await self._cut_by_outage(scope, send):
+            return
+        if self._loses_answer():
+            await self._lose(scope, body)
+            return
+        await send_reply(send, self._serve(scope, body))
+
+    def _control(self, body: bytes) -> Reply:
+        try:
+            self._behaviour = self._behaviour.changed(json.loads(body or '{}'))
+        except (ValueError, BehaviourError) as exc:
+            return json_reply({'problem': str(exc)}, status=_BAD_REQUEST)
+        return json_reply(
+            {
+                'behaviour': self._behaviour.document(),
+                'reads': self._reads.document(),
+                'writes': self._writes.document(),
+            },
+        )
+
+    async def _delay(self) -> None:
+        jitter = self._rng.random() * self._behaviour.jitter_ms
+        await self._clock.sleep(self._behaviour.latency_ms + jitter)
+
+    async def _cut_by_outage(self, scope: Scope, send: Send) -> bool:
+        match self._behaviour.outage:
+            case 'error':
+                await send_reply(send, Reply(status=_UNAVAILABLE))
+            case 'close':
+                await _close(scope)
+            case 'silent':
+                while self._behaviour.outage == 'silent':
+                    await self._clock.sleep(_OUTAGE_POLL_MS)
+                await _close(scope)
+            case _:
+                return False
+        return True
+
+    def _loses_answer(self) -> bool:
+        counted = self._behaviour.lose_next
+        if counted > 0:
+            self._behaviour = replace(self._behaviour, lose_next=counted - 1)
+            return True
+        return self._rng.random() < self._behaviour.lose_share
+
+    async def _lose(self, scope: Scope, body: bytes) -> None:
+        late_ms = self._behaviour.late_ms
+        if not late_ms:
+            self._serve(scope, body)
+        await _close(scope)
+        if late_ms:
+            # uvicorn does not cancel an application whose client has gone.
+            await anyio.sleep(late_ms / MS_PER_SECOND)
+            self._serve(scope, body)
+
+    def _serve(self, scope: Scope, body: bytes) -> Reply:
+        headers = {
+            name.decode('latin-1').lower(): text.decode('latin-1')
+            for name, text in scope['headers']
+        }
+        if headers.get('authorization') != f'Bearer {self._key}':
+            kind = 'UnrecognizedClientException'
+            return json_reply({'__type': kind}, status=_BAD_REQUEST)
+        target = headers.get('x-amz-target')
+        if target is None:
+            return self._serve_object(scope, body)
+        return self._serve_table(target.rpartition('.')[2], body)
+
+    def _serve_table(self, operation: str, body: bytes) -> Reply:
+        try:
+            document = self._run(operation, json.loads(body))
+        except ValueError:
+            kind = 'SerializationException'
+            return json_reply({'__type': kind}, status=_BAD_REQUEST)
+        except OperationError as exc:
+            return json_reply(exc.document, status=_BAD_REQUEST)
+        return json_reply(document)
+
+    def _run(self, operation: str, fields: dict[str, Any]) -> Any:
+        reads, writes = count_items(operation, fields)
+        if not self._counted(reads, writes):
+            raise OperationError(kind='ThrottlingException')
+        return self._table.run(operation, fields)
+
+    def _serve_object(self, scope: Scope, body: bytes) -> Reply:
+        path = scope['path']
+        writing = scope['method'] == 'PUT'
+        if not self._counted(int(not writing), int(writing)):
+            return Reply(status=_UNAVAILABLE)
+        if writing:
+            self._bodies[path] = body
+            return Reply(status=_OK)
+        found = self._bodies.get(path)
+        if found is None:
+            return Reply(status=_NOT_FOUND)
+        return Reply(status=_OK, body=found)
+
+    def _counted(self, reads: int, writes: int) -> bool:
+        second = int(self._clock.now() // MS_PER_SECOND)
+        cfg = self._behaviour
+        return self._reads.add(
+            reads,
+            second=second,
+            limit=cfg.reads_limit,
+        ) and self._writes.add(writes, second=second, limit=cfg.writes_limit)
+
+
+def platform_app(
+    *,
+    key: str,
+    seed: int = 0,
+    behaviour: Behaviour | None = None,
+) -> PlatformApplication:
+    """Return the stand-in as an ASGI application."""
+    return PlatformApplication(
+        key=key,
+        seed=seed,
+        behaviour=behaviour or Behaviour(),
+    )
+
+
+async def _close(scope: Scope) -> None:
+    close: Callable[[], Awaitable[None]] = scope['extensions'][CLOSE_EXTENSION]
+    await close()
--- a/src/savorystand/platform/errors.py
+++ b/src/savorystand/platform/errors.py
@@ -14,6 +14,10 @@
     """No connection or a refusal for load: the operation had no effect."""
 
 
+class StoreContentionError(StoreUnavailableError):
+    """Another transaction held the same items: nothing was written."""
+
+
 class StoreUnknownError(StoreError):
     """The answer was lost: a write may or may not have taken effect."""
 
--- /dev/null
+++ b/src/savorystand/platform/object_store.py
@@ -0,0 +1,72 @@
+"""Client of the platform's object store: GET and PUT of S3's REST API."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+from savorystand.platform.connections import ServiceConnections
+from savorystand.platform.connections import ServiceRequest
+from savorystand.platform.errors import StoreError
+from savorystand.platform.errors import StoreUnavailableError
+from savorystand.platform.errors import StoreUnknownError
+
+if TYPE_CHECKING:
+    from savorystand.platform.connections import ServiceAnswer
+
+BUCKET_NAME = 'savorystand'
+_OK = 200
+_NOT_FOUND = 404
+_MIN_REFUSED = 400
+_MIN_FAILED = 500
+
+
+class ObjectStore:
+    """Objects by name in the bucket ``savorystand``; a ``Bucket``."""
+
+    __slots__ = ('_connections',)
+
+    def __init__(self, *, connections: ServiceConnections) -> None:
+        """Use the connections to the object store."""
+        self._connections = connections
+
+    async def read(self, name: str) -> bytes | None:
+        """Return an object, None if absent.
+
+        Raises:
+            StoreError: the platform gave no answer.
+        """
+        try:
+            answer = await self._send('GET', name, b'')
+        except StoreUnknownError as exc:
+            # A read has no effect whether or not its answer was lost.
+            raise StoreUnavailableError(str(exc)) from exc
+        if answer.status == _NOT_FOUND:
+            return None
+        if answer.status != _OK:
+            raise StoreUnavailableError(f'status {answer.status} for {name}')
+        return answer.body
+
+    async def write(self, name: str, body: bytes) -> None:
+        """Replace an object.
+
+        Raises:
+            StoreUnknownError: the object may have been replaced.
+            StoreError: nothing was written.
+        """
+        answer = await self._send('PUT', name, body)
+        if answer.status == _OK:
+            return
+        problem = f'status {answer.status} for {name}'
+        if _MIN_REFUSED <= answer.status < _MIN_FAILED:
+            raise StoreError(problem)
+        raise StoreUnknownError(problem)
+
+    async def close(self) -> None:
+        """Close idle connections."""
+        await self._connections.close()
+
+    async def _send(self, method: str, name: str, body: bytes) -> ServiceAnswer:
+        path = f'/{BUCKET_NAME}/{quote(name)}'
+        request = ServiceRequest(method=method, path=path, body=body)
+        return await self._connections.send(request)
--- /dev/null
+++ b/src/savorystand/settings/loader.py
@@ -0,0 +1,138 @@
+"""Loads the settings of a node from a TOML file."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+
+from savorystand.settings.addresses import is_loopback
+from savorystand.settings.entries import Entries
+from savorystand.settings.errors import SettingsError
+from savorystand.settings.node import NodeSettings
+from savorystand.settings.node import TlsSettings
+from savorystand.toml.reader import TomlError
+from savorystand.toml.reader import decode_toml
+from savorystand.toml.reader import read_toml
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from savorystand.settings.node import Address
+    from savorystand.toml.reader import TomlText
+
+_MAX_FILE_BYTES = 65536
+_KNOWN = MappingProxyType(
+    {
+        'listen': ('callers', 'local', 'peers'),
+        'target': ('address',),
+        'peers': ('seeds',),
+        'platform': ('table_service', 'object_store', 'key'),
+        'admin': ('key',),
+        'metrics': ('statsd',),
+        'tls': ('certificate', 'key', 'authority'),
+    }
+)
+_OPTIONAL = ('metrics', 'tls')
+_TOP = ('failure_domain', 'region')
+
+
+def load_settings(path: Path) -> NodeSettings:
+    """Return the settings in a file.
+
+    Raises:
+        SettingsError: the file cannot be read or an entry is refused. Keys
+            never appear in the error.
+    """
+    text = _read(path)
+    top = Entries(path=path, text=text, section='', table=text.entries)
+    top.refuse_unknown((*_TOP, *_KNOWN))
+    sections = {name: _section(path, text, name) for name in _KNOWN}
+    settings = NodeSettings(
+        failure_domain=top.text('failure_domain'),
+        region=top.text('region'),
+        callers=sections['listen'].address('callers'),
+        local=sections['listen'].address('local'),
+        peers=sections['listen'].address('peers'),
+        target=sections['target'].address('address'),
+        seeds=sections['peers'].addresses('seeds'),
+        table_service=sections['platform'].url('table_service'),
+        object_store=sections['platform'].url('object_store'),
+        platform_key=sections['platform'].secret('key'),
+        admin_key=sections['admin'].secret('key'),
+        statsd=_statsd(text, sections['metrics']),
+        tls=_tls(text, sections['tls']),
+    )
+    _check_exposure(settings, sections['listen'])
+    return settings
+
+
+def _read(path: Path) -> TomlText:
+    try:
+        raw = path.read_bytes()
+    except OSError as exc:
+        problem = f'cannot be read: {exc.strerror}'
+        remedy = 'name a readable file'
+        raise SettingsError(
+            path=path, line=1, problem=problem, remedy=remedy
+        ) from None
+    if len(raw) > _MAX_FILE_BYTES:
+        problem = f'more than {_MAX_FILE_BYTES} bytes'
+        remedy = 'name a settings file'
+        raise SettingsError(path=path, line=1, problem=problem, remedy=remedy)
+    try:
+        return read_toml(decode_toml(raw))
+    except TomlError as exc:
+        raise SettingsError(
+            path=path,
+            line=exc.line,
+            problem=f'not valid TOML: {exc.problem}',
+            remedy='correct the line',
+        ) from None
+
+
+def _section(path: Path, text: TomlText, name: str) -> Entries:
+    table = text.entries.get(name, {})
+    if not isinstance(table, dict):
+        raise SettingsError(
+            path=path,
+            line=text.line((name,)),
+            problem=f'{name} is not a table',
+            remedy=f'write [{name}] and its entries below',
+        )
+    if name not in text.entries and name not in _OPTIONAL:
+        names = ', '.join(_KNOWN[name])
+        raise SettingsError(
+            path=path,
+            line=1,
+            problem=f'[{name}] is missing',
+            remedy=f'add it with {names}',
+        )
+    entries = Entries(path=path, text=text, section=name, table=table)
+    entries.refuse_unknown(_KNOWN[name])
+    return entries
+
+
+def _statsd(text: TomlText, entries: Entries) -> Address | None:
+    if not text.entries.get('metrics'):
+        return None
+    return entries.address('statsd')
+
+
+def _tls(text: TomlText, entries: Entries) -> TlsSettings | None:
+    if 'tls' not in text.entries:
+        return None
+    return TlsSettings(
+        certificate=entries.text('certificate'),
+        key=entries.text('key'),
+        authority=entries.text('authority'),
+    )
+
+
+def _check_exposure(settings: NodeSettings, listen: Entries) -> None:
+    if not is_loopback(settings.local):
+        remedy = 'use an address in 127.0.0.0/8'
+        raise listen.error('local', 'is not a loopback address', remedy)
+    if settings.tls is None and not is_loopback(settings.peers):
+        problem = 'is not a loopback address and there is no [tls]'
+        remedy = 'add [tls] with certificate, key and authority'
+        raise listen.error('peers', problem, remedy)
--- /dev/null
+++ b/src/savorystand/tables/repository.py
@@ -0,0 +1,164 @@
+"""Accepted revisions in the platform's table service."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import final
+
+from savorystand.platform.errors import StoreError
+from savorystand.platform.store import Absent
+from savorystand.platform.store import Put
+from savorystand.platform.store import Unchanged
+from savorystand.tables.document import TablesDocument
+
+if TYPE_CHECKING:
+    from savorystand.platform.store import Attributes
+    from savorystand.platform.store import ItemStore
+
+_HEAD_ID = 'head'
+_REVISION = 'revision'
+_CHANGE_ID = 'change_id'
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Head:
+    """The newest accepted revision; 0 and empty if there is none."""
+
+    revision: int = 0
+    change_id: str = ''
+    digest: str = ''
+
+
+class TableRepository:
+    """Reads and writes revisions; a ``TablesSource``."""
+
+    __slots__ = ('_store',)
+
+    def __init__(self, *, store: ItemStore) -> None:
+        """Keep revisions in ``store``."""
+        self._store = store
+
+    async def head(self) -> Head:
+        """Return what the newest accepted revision is.
+
+        Raises:
+            StoreError: the platform gave no answer or a malformed one.
+        """
+        attributes = await self._store.get(_HEAD_ID)
+        if attributes is None:
+            return Head()
+        return Head(
+            revision=_number(attributes, _REVISION),
+            change_id=_text(attributes, _CHANGE_ID),
+            digest=_text(attributes, 'digest'),
+        )
+
+    async def head_revision(self) -> int:
+        """Return the newest accepted revision, 0 if there is none.
+
+        Raises:
+            StoreError: the platform gave no answer.
+        """
+        head = await self.head()
+        return head.revision
+
+    async def find(self, revision: int) -> TablesDocument | None:
+        """Return one accepted revision, None if there is no such.
+
+        Raises:
+            StoreError: the platform gave no answer or a malformed one.
+        """
+        attributes = await self._store.get(_revision_id(revision))
+        if attributes is None:
+            return None
+        return TablesDocument(
+            revision=_number(attributes, _REVISION),
+            change_id=_text(attributes, _CHANGE_ID),
+            routes=_text(attributes, 'routes'),
+            pools=_text(attributes, 'pools'),
+        )
+
+    async def fetch(self, revision: int) -> TablesDocument:
+        """Return one accepted revision.
+
+        Raises:
+            StoreError: the platform gave no answer or has no such revision.
+        """
+        document = await self.find(revision)
+        if document is None:
+            raise StoreError(f'there is no revision {revision}')
+        return document
+
+    async def publish(self, document: TablesDocument, *, base: Head) -> None:
+        """Accept a revision if ``base`` is still the newest one.
+
+        Repeating it with the same arguments accepts the revision at most
+        once.
+
+        Raises:
+            ConditionFailedError: another revision was accepted, or this one
+                was by an earlier call.
+            StoreUnknownError: the revision may have been accepted.
+            StoreError: the revision was not accepted by this call.
+        """
+        await self._store.transact(
+            (_revision_put(document), _head_put(document, base)),
+            document.change_id,
+        )
+
+
+def tables_digest(document: TablesDocument) -> str:
+    """Return SHA-256 of both texts in hex."""
+    texts = f'{document.routes}\0{document.pools}'
+    return hashlib.sha256(texts.encode()).hexdigest()
+
+
+def _revision_put(document: TablesDocument) -> Put:
+    return Put(
+        id=_revision_id(document.revision),
+        attributes={
+            _REVISION: document.revision,
+            _CHANGE_ID: document.change_id,
+            'routes': document.routes,
+            'pools': document.pools,
+        },
+        condition=Absent(),
+    )
+
+
+def _head_put(document: TablesDocument, base: Head) -> Put:
+    condition: Absent | Unchanged = Absent()
+    if base.revision:
+        # Each change id belongs to one revision, so that an equal id means
+        # that head did not move.
+        condition = Unchanged(attribute=_CHANGE_ID, equals=base.change_id)
+    return Put(
+        id=_HEAD_ID,
+        attributes={
+            _REVISION: document.revision,
+            _CHANGE_ID: document.change_id,
+            'digest': tables_digest(document),
+        },
+        condition=condition,
+    )
+
+
+def _revision_id(revision: int) -> str:
+    return f'revision#{revision}'
+
+
+def _number(attributes: Attributes, name: str) -> int:
+    number = attributes.get(name)
+    if not isinstance(number, int):
+        raise StoreError(f'an item of the tables has no number {name}')
+    return number
+
+
+def _text(attributes: Attributes, name: str) -> str:
+    text = attributes.get(name)
+    if not isinstance(text, str):
+        raise StoreError(f'an item of the tables has no text {name}')
+    return text
--- /dev/null
+++ b/src/savorystand/toml/__init__.py
@@ -0,0 +1,1 @@
+"""Reading of TOML texts with the lines of their entries."""
--- /dev/null
+++ b/tests/deduplication/test_table_claims.py
@@ -0,0 +1,128 @@
+"""Failures: two nodes hold one key, or an outage holds up every request."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+import anyio
+import pytest
+from fakes.store import FAULTS
+from fakes.store import MemoryItems
+from fakes.store import SkippingClock
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from savorystand.deduplication.claims import Claimed
+from savorystand.deduplication.claims import HeldElsewhere
+from savorystand.deduplication.claims import Unresolved
+from savorystand.deduplication.table_claims import TableClaims
+
+_NODES = ('node0', 'node1')
+_KEYS = 4
+_FAULTS = st.lists(st.sampled_from(FAULTS), max_size=8)
+_Pick: TypeAlias = tuple[str, int]
+_Holder: TypeAlias = tuple[str, str]
+_PICKS = st.lists(
+    st.tuples(st.sampled_from(_NODES), st.integers(0, _KEYS - 1)),
+    min_size=1,
+    max_size=8,
+)
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """Two nodes claim the same keys of one store."""
+
+    def __init__(self) -> None:
+        """Start with an empty store and no holders."""
+        super().__init__()
+        self.store = MemoryItems()
+        self.lives: dict[_Pick, int] = {}
+        self.holders: dict[int, set[_Holder]] = {}
+        self.named: dict[int, set[str]] = {}
+
+    @rule(picks=_PICKS, faults=_FAULTS)
+    def claim(self, picks: list[_Pick], faults: list[str]) -> None:
+        """Claim keys at the same time, some of them twice."""
+        self.store.faults.extend(faults)
+        anyio.run(self._claim_all, picks)
+        self.store.faults.clear()
+
+    @rule(node=st.sampled_from(_NODES), key=st.integers(0, _KEYS - 1))
+    def forget(self, node: str, key: int) -> None:
+        """Drop a node's record: its next claim has another attempt id."""
+        self.lives[node, key] = self.lives.get((node, key), 0) + 1
+
+    @rule()
+    def arrive(self) -> None:
+        """Let a write arrive whose answer was given up."""
+        self.store.arrive()
+
+    @invariant()
+    def one_holder(self) -> None:
+        """At most one attempt of one node was ever told that it holds."""
+        for key, holders in self.holders.items():
+            assert len(holders) <= 1
+            nodes = {node for node, _ in holders}
+            assert len(nodes | self.named.get(key, set())) <= 1
+
+    async def _claim_all(self, picks: list[_Pick]) -> None:
+        services = {
+            node: TableClaims(
+                store=self.store,
+                clock=SkippingClock(),
+                node_id=node,
+            )
+            for node in _NODES
+        }
+        async with anyio.create_task_group() as tasks:
+            for service in services.values():
+                await tasks.start(_run, service)
+            async with anyio.create_task_group() as claims:
+                for node, key in picks:
+                    claims.start_soon(self._claim, services[node], node, key)
+            tasks.cancel_scope.cancel()
+
+    async def _claim(self, service: TableClaims, node: str, key: int) -> None:
+        life = self.lives.get((node, key), 0)
+        attempt = f'{node}-{life}'
+        match await service.claim(f'key{key}', attempt):
+            case Claimed():
+                self.holders.setdefault(key, set()).add((node, attempt))
+            case HeldElsewhere(node_id=holder):
+                self.named.setdefault(key, set()).add(holder)
+
+
+TestClaims = ClaimsMachine.TestCase
+TestClaims.settings = settings(max_examples=60, stateful_step_count=30)
+
+
+async def _run(service: TableClaims, *, task_status: object) -> None:
+    await service.run(task_status=task_status)
+
+
+@pytest.mark.anyio
+async def test_batches_and_breaks() -> None:
+    """Claims must share writes, and an outage must not be asked each time."""
+    store = MemoryItems()
+    clock = SkippingClock()
+    service = TableClaims(store=store, clock=clock, node_id='node0')
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(_run, service)
+        async with anyio.create_task_group() as claims:
+            for number in range(60):
+                claims.start_soon(service.claim, f'key{number}', 'a')
+        assert len(store.stored) == 60
+        assert len(store.tokens) <= 4
+        store.faults.extend(('down', 'down', 'down'))
+        for number in range(3):
+            assert isinstance(
+                await service.claim(f'x{number}', 'a'), Unresolved
+            )
+        refused = await service.claim('key1', 'a')
+        assert isinstance(refused, Unresolved)
+        await clock.sleep(1000)
+        assert isinstance(await service.claim('key1', 'a'), Claimed)
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces."""
--- /dev/null
+++ b/tests/platform/test_stand_in.py
@@ -0,0 +1,155 @@
+"""Failures: the client misjudges what the service did over real HTTP."""
+
+from __future__ import annotations
+
+import json
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import anyio
+import pytest
+
+from savorystand.clock import Clock
+from savorystand.lab.platform.application import platform_app
+from savorystand.lab.platform.listener import PlatformListener
+from savorystand.platform.connections import ServiceConnections
+from savorystand.platform.connections import ServiceRequest
+from savorystand.platform.errors import ConditionFailedError
+from savorystand.platform.errors import StoreError
+from savorystand.platform.errors import StoreUnavailableError
+from savorystand.platform.errors import StoreUnknownError
+from savorystand.platform.object_store import ObjectStore
+from savorystand.platform.store import Absent
+from savorystand.platform.store import Put
+from savorystand.platform.table_store import TableStore
+from savorystand.settings.node import Address
+from savorystand.tables.editor import TableEditor
+from savorystand.tables.edits import EditConflictError
+from savorystand.tables.repository import TableRepository
+from savorystand.tables.snapshot import TableSnapshot
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Sequence
+
+pytestmark = pytest.mark.anyio
+_KEY = 'secret'
+
+
+class _Service:
+    def __init__(self, port: int) -> None:
+        self.address = Address(host='127.0.0.1', port=port)
+        self.connections = self.connect(_KEY)
+
+    def connect(self, key: str, timeout_ms: float = 1500) -> ServiceConnections:
+        return ServiceConnections(
+            address=self.address,
+            key=key,
+            timeout_ms=timeout_ms,
+        )
+
+    async def control(self, **changes: object) -> dict[str, dict[str, int]]:
+        request = ServiceRequest(
+            method='POST',
+            path='/control',
+            body=json.dumps(changes).encode(),
+        )
+        answer = await self.connections.send(request)
+        assert answer.status == 200
+        return json.loads(answer.body)
+
+
+class _LosingStore(TableStore):
+    def __init__(self, service: _Service) -> None:
+        super().__init__(connections=service.connections)
+        self.service = service
+        self.loses = False
+
+    async def transact(self, puts: Sequence[Put], token: str) -> None:
+        if self.loses:
+            self.loses = False
+            await self.service.control(lose_next=1)
+        await super().transact(puts, token)
+
+
+@asynccontextmanager
+async def _service() -> AsyncIterator[_Service]:
+    listener = PlatformListener(app=platform_app(key=_KEY))
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(_run, listener)
+        yield _Service(listener.port)
+        tasks.cancel_scope.cancel()
+
+
+async def _run(listener: PlatformListener, *, task_status: object) -> None:
+    await listener.run(task_status=task_status)
+
+
+def _put(item_id: str) -> Put:
+    return Put(id=item_id, attributes={'n': 5, 's': 'ü'}, condition=Absent())
+
+
+async def test_verdicts_of_the_client() -> None:
+    """Each fault must be told apart as no effect or unknown effect."""
+    async with _service() as service:
+        store = TableStore(connections=service.connections)
+        await store.transact((_put('a'), _put('b')), 'one')
+        await store.transact((_put('a'), _put('b')), 'one')
+        assert await store.get('a') == {'n': 5, 's': 'ü'}
+        with pytest.raises(ConditionFailedError) as caught:
+            await store.transact((_put('c'), _put('b')), 'two')
+        assert caught.value.failed == (1,)
+        with pytest.raises(ConditionFailedError):
+            await store.put(_put('a'))
+        await service.control(lose_next=1)
+        with pytest.raises(StoreUnknownError):
+            await store.put(_put('lost'))
+        found = await store.get_many(('lost', 'c'))
+        assert found == {'lost': {'n': 5, 's': 'ü'}, 'c': None}
+        await service.control(writes_limit=1)
+        with pytest.raises(StoreUnavailableError):
+            await store.transact((_put('d'), _put('e')), 'three')
+        await service.control(writes_limit=0, outage='silent')
+        hasty = TableStore(connections=service.connect(_KEY, 50))
+        with pytest.raises(StoreUnknownError):
+            await hasty.put(_put('f'))
+        with pytest.raises(StoreUnavailableError):
+            await hasty.get('f')
+        for outage in ('close', 'error'):
+            await service.control(outage=outage)
+            with pytest.raises(StoreUnknownError):
+                await store.put(_put('f'))
+        counted = await service.control(outage='none')
+        assert counted['writes']['total'] >= 6
+        assert await store.get('f') is None
+        stranger = TableStore(connections=service.connect('other'))
+        with pytest.raises(StoreError) as refused:
+            await stranger.put(_put('g'))
+        assert not isinstance(refused.value, StoreUnknownError)
+    with pytest.raises(StoreUnavailableError):
+        await store.put(_put('h'))
+
+
+async def test_edits_and_snapshot() -> None:
+    """A lost answer must be settled, and the snapshot hold the revision."""
+    async with _service() as service:
+        bucket = ObjectStore(connections=service.connections)
+        snapshot = TableSnapshot(bucket=bucket)
+        store = _LosingStore(service)
+        editor = TableEditor(
+            repository=TableRepository(store=store),
+            snapshot=snapshot,
+            clock=Clock(),
+        )
+        assert await snapshot.read() is None
+        await editor.apply('', '', 0)
+        store.loses = True
+        second = await editor.apply('', '# second', 1)
+        assert not store.loses
+        assert not second.warning
+        with pytest.raises(EditConflictError) as caught:
+            await editor.apply('', '# mine', 1)
+        assert caught.value.ours.pools == '# mine'
+        assert caught.value.theirs is not None
+        assert caught.value.theirs == second.document
+        assert await snapshot.read() == caught.value.theirs
--- /dev/null
+++ b/tests/settings/test_loader.py
@@ -0,0 +1,103 @@
+"""Failures: faulty settings start a node, or an error shows a key."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from savorystand.settings.errors import SettingsError
+from savorystand.settings.loader import load_settings
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+_SECRET = 'k3y-of-the-platform'
+_TEXT = f"""\
+failure_domain = "viti-1"
+region = "viti"
+[listen]
+callers = "10.0.0.5:8080"
+local = "127.0.0.1:8081"
+peers = "127.0.0.1:8082"
+[target]
+address = "127.0.0.1:9000"
+[peers]
+seeds = [
+  "10.0.0.6:8082",
+]
+[platform]
+table_service = "http://10.0.1.1:8000"
+object_store = "http://10.0.1.2:8000"
+key = "{_SECRET}"
+[admin]
+key = "{_SECRET}"
+"""
+
+_CASES = (
+    ('region', 'regoin', 2, 'unknown entry'),
+    ('region = "viti"\n', '', 1, 'region: is missing'),
+    ('"viti"', '5', 2, 'region: is not a text'),
+    ('10.0.0.5:8080', 'host:8080', 4, 'IP number'),
+    ('10.0.0.5:8080', '10.0.0.5:65536', 4, 'port'),
+    ('10.0.0.5:8080', '10.0.0.5:0', 4, 'port'),
+    ('"127.0.0.1:8081"', '"10.0.0.5:8081"', 5, 'loopback'),
+    ('"127.0.0.1:8082"', '"10.0.0.5:8082"', 6, '[tls]'),
+    ('"10.0.0.6:8082"', '5', 10, 'seeds'),
+    ('http://10.0.1.1', 'https://10.0.1.1', 14, 'scheme'),
+    ('http://10.0.1.1:8000', 'http://a:b@10.0.1.1:8000', 14, 'IP number'),
+    (f'"{_SECRET}"\n[', f'"{_SECRET}\n[', 16, 'not valid TOML'),
+    ('key =', f'key = "a"\n{_SECRET} =', 17, 'unknown entry in [platform]'),
+    (f'"{_SECRET}"\n[', f'"{_SECRET} x"\n[', 16, 'key: does not fit'),
+    (f'"{_SECRET}"\n[', f'["{_SECRET}"]\n[', 16, 'key: is not a text'),
+    ('[admin]', '[tls]\nkey = "a"\n[admin]', 17, 'certificate: is missing'),
+    ('[target]', '[[target]]', 7, 'not a table'),
+    ('[listen]', '\x00', 3, 'not valid TOML'),
+)
+
+
+def _write(path: Path, text: str) -> Path:
+    cfg = path / 'node.toml'
+    cfg.write_text(text)
+    return cfg
+
+
+def _refusal(path: Path) -> str:
+    try:
+        load_settings(path)
+    except SettingsError as exc:
+        return str(exc)
+    return 'accepted'
+
+
+@pytest.mark.parametrize(('old', 'new', 'line', 'problem'), _CASES)
+def test_errors_have_lines(
+    tmp_path: Path,
+    old: str,
+    new: str,
+    line: int,
+    problem: str,
+) -> None:
+    """Each entry refused must be found by its line, and no key be shown."""
+    assert old in _TEXT
+    path = _write(tmp_path, _TEXT.replace(old, new, 1))
+    text = _refusal(path)
+    assert text.startswith(f'{path}:{line}: ')
+    assert problem in text
+    assert _SECRET not in text
+
+
+def test_whole_settings(tmp_path: Path) -> None:
+    """Every entry must arrive, the optional ones included."""
+    tls = '[tls]\ncertificate = "c"\nkey = "k"\nauthority = "a"\n'
+    text = f'{_TEXT}[metrics]\nstatsd = "127.0.0.1:8125"\n{tls}'
+    text = text.replace('127.0.0.1:8082', '10.0.0.5:8082')
+    cfg = load_settings(_write(tmp_path, text))
+    assert cfg.peers.text() == '10.0.0.5:8082'
+    assert [seed.text() for seed in cfg.seeds] == ['10.0.0.6:8082']
+    assert cfg.table_service == 'http://10.0.1.1:8000'
+    assert cfg.platform_key == _SECRET
+    assert cfg.statsd is not None
+    assert cfg.statsd.port == 8125
+    assert cfg.tls is not None
+    assert cfg.tls.authority == 'a'
