Say not-run of a known key only when no earlier attempt can have run

Change: refusals given without knowledge of the key are may-have-run, unless the caller declares its first attempt (Savorystand-Attempt: 1).

--- a/src/savorystand/call.py
+++ b/src/savorystand/call.py
@@ -50,7 +50,12 @@
 @final
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Call:
-    """One request on its way to a pool. ``path`` includes the query."""
+    """One request on its way to a pool. ``path`` includes the query.
+
+    ``first`` is set if the caller declares that it has not sent the request
+    before; only then can a node that knows nothing of the key say that the
+    request has not run.
+    """
 
     context: CallContext
     route: Route
@@ -60,6 +65,7 @@
     body: bytes
     key: str = ''
     to_home: bool = False
+    first: bool = False
 
 
 @final
--- a/src/savorystand/deduplication/ledger.py
+++ b/src/savorystand/deduplication/ledger.py
@@ -15,7 +15,6 @@
 from expression import Error
 from expression import Result
 
-from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 
@@ -86,7 +85,13 @@
     outcome: Outcome
 
 
-Decision: TypeAlias = RunNow | AwaitRun | Decided
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Forgotten:
+    """The record of the key may have been dropped: it is never run again."""
+
+
+Decision: TypeAlias = RunNow | AwaitRun | Decided | Forgotten
 
 
 def fingerprint(call: Call) -> bytes:
@@ -158,7 +163,7 @@
         if record is not None:
             return self._decide(record, mark)
         if key.sequence < self._low_water:
-            return Decided(outcome=_forgotten())
+            return Forgotten()
         record = KeyRecord(key=key.text(), sequence=key.sequence, mark=mark)
         decision = self._decide(record, mark)
         self._add(record)
@@ -168,7 +173,7 @@
         """Decide on a request whose claim names this node as its home."""
         record = self._records.get(key)
         if record is None:
-            return Decided(outcome=_forgotten())
+            return Forgotten()
         return self._decide(record, mark)
 
     def complete(self, now: RunNow, outcome: Outcome) -> None:
@@ -221,10 +226,6 @@
             self._kept_bytes -= _size(record.run.outcome)
 
 
-def _forgotten() -> Outcome:
-    return Error(MayHaveRun(reason=Reason.FORGOTTEN))
-
-
 def _size(outcome: Outcome) -> int:
     match outcome:
         case Result(tag='ok', ok=answer):
--- a/src/savorystand/deduplication/runner.py
+++ b/src/savorystand/deduplication/runner.py
@@ -27,6 +27,7 @@
 from savorystand.deduplication.ledger import AwaitRun
 from savorystand.deduplication.ledger import Decided
 from savorystand.deduplication.ledger import Decision
+from savorystand.deduplication.ledger import Forgotten
 from savorystand.deduplication.ledger import KeyLedger
 from savorystand.deduplication.ledger import Run
 from savorystand.deduplication.ledger import RunNow
@@ -38,6 +39,7 @@
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
+from savorystand.verdict import not_seen
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -136,31 +138,32 @@
             case HeldElsewhere(node_id=home) if home == self._node_id:
                 # Bound here by a claim of which no record is left.
                 self._ledger.release(call.key)
-                return Error(MayHaveRun(reason=Reason.FORGOTTEN))
+                return _unknown(call, Reason.FORGOTTEN, home)
             case HeldElsewhere(node_id=home):
                 self._ledger.release(call.key)
                 return await self._forward(call, home)
             case Unresolved(detail=detail):
-                # Nothing was dispatched, and only this node may do so under
-                # the claim if it stands.
-                reason = Reason.STORE_UNAVAILABLE
-                return Error(NotRun(reason=reason, detail=detail))
+                # Nothing was dispatched now, but a claim of another node may
+                # stand from an earlier attempt.
+                return _unknown(call, Reason.STORE_UNAVAILABLE, detail)
 
     async def _forward(self, call: Call, home: str) -> Outcome:
         directory = self._kernel.find('membership', Directory)
         member = directory.lookup(home)
         if member is None or member.state == MemberState.DEAD:
-            return Error(MayHaveRun(reason=Reason.HOME_LOST, detail=home))
+            return _unknown(call, Reason.HOME_LOST, home)
         caller = self._kernel.find('peers', PeerCaller)
         outcome = await caller.call(member.peer, replace(call, to_home=True))
         match outcome:
             case Result(
                 tag='error',
-                error=NotRun(reason=Reason.CONNECTION_LOST),
+                error=NotRun(
+                    reason=Reason.CONNECTION_LOST | Reason.TOO_LARGE,
+                ),
             ):
                 # The home did not see this attempt, but may have run the key
                 # for an earlier one.
-                return Error(MayHaveRun(reason=Reason.HOME_LOST, detail=home))
+                return _unknown(call, Reason.HOME_LOST, home)
             case _:
                 return outcome
 
@@ -168,6 +171,8 @@
         match decision:
             case Decided(outcome=outcome):
                 return outcome
+            case Forgotten():
+                return _unknown(call, Reason.FORGOTTEN, self._node_id)
             case AwaitRun(run=run):
                 return await self._wait(call, run)
             case RunNow(run=run):
@@ -200,3 +205,7 @@
         if run.outcome is None:
             return Error(MayHaveRun(reason=Reason.DEADLINE))
         return run.outcome
+
+
+def _unknown(call: Call, reason: Reason, detail: str) -> Outcome:
+    return Error(not_seen(reason, detail=detail, known=call.first))
--- a/src/savorystand/dispatch/dispatcher.py
+++ b/src/savorystand/dispatch/dispatcher.py
@@ -11,6 +11,7 @@
 from savorystand.dispatch.attempts import Attempts
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
+from savorystand.verdict import not_seen
 
 if TYPE_CHECKING:
     from savorystand.call import Call
@@ -31,7 +32,8 @@
     async def call(self, call: Call) -> Outcome:
         """Serve one call whose route is known."""
         if call.context.deadline_ms <= self._clock.now():
-            return Error(NotRun(reason=Reason.DEADLINE))
+            known = call.first or not call.key or call.route.idempotent
+            return Error(not_seen(Reason.DEADLINE, detail='', known=known))
         if call.route.idempotent:
             return await self._kernel.find('attempts', Attempts).run(call)
         if not call.key:
--- a/src/savorystand/gateway/application.py
+++ b/src/savorystand/gateway/application.py
@@ -43,6 +43,7 @@
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 from savorystand.verdict import Refusal
+from savorystand.verdict import not_seen
 from savorystand.verdict import verdict_name
 
 if TYPE_CHECKING:
@@ -51,7 +52,14 @@
 
 _ADMIN_PREFIX = '/savorystand/'
 _CLOSE = (('connection', 'close'),)
-_OFFERS_KEY = frozenset((Reason.KEY_REQUIRED, Reason.STORE_UNAVAILABLE))
+_OFFERS_KEY = frozenset(
+    (
+        Reason.FORGOTTEN,
+        Reason.HOME_LOST,
+        Reason.KEY_REQUIRED,
+        Reason.STORE_UNAVAILABLE,
+    )
+)
 
 
 @final
@@ -140,7 +148,12 @@
         route = tables.match(request.method, request.path)
         if route is None:
             detail = f'{request.method} {request.path}'
-            refusal = NotRun(reason=Reason.NO_ROUTE, detail=detail)
+            keyed = names.header(request.headers, names.IDEMPOTENCY_KEY)
+            refusal = not_seen(
+                Reason.NO_ROUTE,
+                detail=detail,
+                known=not keyed or _is_first(request),
+            )
             return self._refusal(refusal, '')
         return await self._serve_route(request, route)
 
@@ -196,6 +209,7 @@
                 headers=names.forwarded(request.headers),
                 body=request.body,
                 key=names.header(request.headers, names.IDEMPOTENCY_KEY),
+                first=_is_first(request),
             ),
         )
 
@@ -218,6 +232,10 @@
         )
 
 
+def _is_first(request: Request) -> bool:
+    return names.header(request.headers, names.ATTEMPT) == '1'
+
+
 def _answer(answer: Answer, context: CallContext) -> Reply:
     own = (
         (names.VERDICT, 'answered'),
--- a/src/savorystand/gateway/headers.py
+++ b/src/savorystand/gateway/headers.py
@@ -14,6 +14,8 @@
 VERDICT = 'savorystand-verdict'
 RETRY_AFTER = 'retry-after'
 REQUEST_ID = 'savorystand-request-id'
+# Number of the caller's attempt at a request, counted from 1.
+ATTEMPT = 'savorystand-attempt'
 
 # Headers that belong to one connection (RFC 9110, section 7.6.1) or that the
 # node sets itself.
@@ -29,6 +31,7 @@
         'trailer',
         'transfer-encoding',
         'upgrade',
+        ATTEMPT,
         DEADLINE,
         CONTEXT,
         VERDICT,
--- a/src/savorystand/transport/conversion.py
+++ b/src/savorystand/transport/conversion.py
@@ -45,6 +45,7 @@
             last=len(body) == len(call.body),
             key=call.key,
             to_home=call.to_home,
+            first=call.first,
             body_size=len(call.body),
         ),
     )
@@ -78,6 +79,7 @@
         body=body,
         key=start.key or '',
         to_home=bool(start.to_home),
+        first=bool(start.first),
     )
 
 
--- a/src/savorystand/transport/server.py
+++ b/src/savorystand/transport/server.py
@@ -17,9 +17,9 @@
 from savorystand.transport.errors import STREAM_ERRORS
 from savorystand.transport.writer import FrameWriter
 from savorystand.verdict import MayHaveRun
-from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 from savorystand.verdict import Refusal
+from savorystand.verdict import not_seen
 from savorystand.wire.codec import FrameBuffer
 from savorystand.wire.codec import Message
 from savorystand.wire.gen.wire import ttypes
@@ -114,7 +114,7 @@
     def _begin_call(self, start: Message, tasks: TaskGroup) -> None:
         streams = len(self._scopes) + len(self._assemblies)
         if streams >= MAX_STREAMS or start.stream in self._scopes:
-            self._refuse(start.stream, NotRun(reason=Reason.OVERLOADED))
+            self._refuse(start.stream, _unseen(start, Reason.OVERLOADED))
             return
         assembly = BodyAssembly(start=start)
         if start.last:
@@ -138,8 +138,7 @@
         start = assembly.start
         route = self._inbound.route(start.route)
         if route is None:
-            refusal = NotRun(reason=Reason.NO_ROUTE, detail=start.route)
-            self._refuse(start.stream, refusal)
+            self._refuse(start.stream, _unseen(start, Reason.NO_ROUTE))
             return
         call = call_from(start, route, assembly.whole(), self._clock.now())
         scope = anyio.CancelScope()
@@ -174,3 +173,9 @@
     def _refuse(self, stream: int, refusal: Refusal) -> None:
         load = self._inbound.load()
         self._writer.send(refusal_frame(refusal, stream, load))
+
+
+def _unseen(start: Message, reason: Reason) -> Refusal:
+    # Refused before the home has looked the key up.
+    known = not start.to_home or bool(start.first)
+    return not_seen(reason, detail=start.route, known=known)
--- a/src/savorystand/verdict.py
+++ b/src/savorystand/verdict.py
@@ -61,6 +61,17 @@
 Refusal: TypeAlias = NotRun | MayHaveRun
 
 
+def not_seen(reason: Reason, *, detail: str, known: bool) -> Refusal:
+    """Refuse an attempt that no target has seen.
+
+    The verdict speaks of the request and not of the attempt alone: unless it
+    is ``known`` that no earlier attempt ran, the request may have run.
+    """
+    if known:
+        return NotRun(reason=reason, detail=detail)
+    return MayHaveRun(reason=reason, detail=detail)
+
+
 def verdict_name(refusal: Refusal) -> str:
     """Return the verdict as it stands in headers, bodies and logs."""
     match refusal:
--- a/src/savorystand/wire/gen/wire/ttypes.py
+++ b/src/savorystand/wire/gen/wire/ttypes.py
@@ -464,6 +464,7 @@
      - to_home
      - body_size
      - key
+     - first
 
     """
 
@@ -479,10 +480,11 @@
         'to_home',
         'body_size',
         'key',
+        'first',
     )
 
 
-    def __init__(self, stream=None, context=None, route=None, method=None, path=None, headers=None, body=None, last=None, to_home=None, body_size=None, key=None,):
+    def __init__(self, stream=None, context=None, route=None, method=None, path=None, headers=None, body=None, last=None, to_home=None, body_size=None, key=None, first=None,):
         self.stream = stream
         self.context = context
         self.route = route
@@ -494,6 +496,7 @@
         self.to_home = to_home
         self.body_size = body_size
         self.key = key
+        self.first = first
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -566,6 +569,11 @@
                     self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.first = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -623,6 +631,10 @@
             oprot.writeFieldBegin('key', TType.STRING, 11)
             oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
             oprot.writeFieldEnd()
+        if self.first is not None:
+            oprot.writeFieldBegin('first', TType.BOOL, 12)
+            oprot.writeBool(self.first)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2695,6 +2707,7 @@
     (9, TType.BOOL, 'to_home', None, None, ),  # 9
     (10, TType.I64, 'body_size', None, None, ),  # 10
     (11, TType.STRING, 'key', 'UTF8', None, ),  # 11
+    (12, TType.BOOL, 'first', None, None, ),  # 12
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
--- a/tests/deduplication/test_runner.py
+++ b/tests/deduplication/test_runner.py
@@ -61,6 +61,7 @@
 
     key: int
     node: int
+    declared: bool
 
 
 @dataclass(slots=True, frozen=True)
@@ -95,9 +96,15 @@
 
 Step: TypeAlias = SendCall | ReplaceNode | SetStore | SetLink | EndRun
 
+_sends = st.builds(
+    SendCall,
+    key=st.integers(0, 5),
+    node=st.integers(0, 2),
+    declared=st.booleans(),
+)
 _steps = st.one_of(
-    st.builds(SendCall, key=st.integers(0, 5), node=st.integers(0, 2)),
-    st.builds(SendCall, key=st.integers(0, 5), node=st.integers(0, 2)),
+    _sends,
+    _sends,
     st.builds(ReplaceNode, node=st.integers(0, 2)),
     st.builds(SetStore, mode=st.sampled_from(['up', 'down', 'lossy'])),
     st.builds(
@@ -142,6 +149,7 @@
     pending: list[Attempt] = field(default_factory=list)
     started: dict[str, int] = field(default_factory=dict)
     keys: list[str] = field(default_factory=list)
+    sent: set[str] = field(default_factory=set)
     lives: int = 0
 
     async def start(self) -> None:
@@ -254,6 +262,8 @@
 async def _send(estate: Estate, step: SendCall) -> None:
     node = estate.nodes[step.node]
     key = estate.keys[step.key]
+    first = step.declared and key not in estate.sent
+    estate.sent.add(key)
     context = CallContext(
         request_id='r',
         execution_id='',
@@ -269,6 +279,7 @@
         headers=(),
         body=b'bin 7',
         key=key,
+        first=first,
     )
     match await node.runner.call(call):
         case Result(tag='ok', ok=answer):
--- a/tests/deduplication/test_table_claims.py
+++ b/tests/deduplication/test_table_claims.py
@@ -6,9 +6,6 @@
 
 import anyio
 import pytest
-from fakes.store import FAULTS
-from fakes.store import MemoryItems
-from fakes.store import SkippingClock
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
@@ -19,6 +16,9 @@
 from savorystand.deduplication.claims import HeldElsewhere
 from savorystand.deduplication.claims import Unresolved
 from savorystand.deduplication.table_claims import TableClaims
+from tests.fakes.store import FAULTS
+from tests.fakes.store import MemoryItems
+from tests.fakes.store import SkippingClock
 
 _NODES = ('node0', 'node1')
 _KEYS = 4
--- a/tests/tables/test_editor.py
+++ b/tests/tables/test_editor.py
@@ -6,9 +6,6 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from fakes.store import FAULTS
-from fakes.store import MemoryItems
-from fakes.store import SkippingClock
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
@@ -20,6 +17,9 @@
 from savorystand.tables.edits import EditError
 from savorystand.tables.edits import EditUnknownError
 from savorystand.tables.repository import TableRepository
+from tests.fakes.store import FAULTS
+from tests.fakes.store import MemoryItems
+from tests.fakes.store import SkippingClock
 
 if TYPE_CHECKING:
     from savorystand.tables.document import TablesDocument
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -45,6 +45,8 @@
   9: optional bool to_home,
   10: required i64 body_size,
   11: optional string key,
+  // The caller says that it sends the request for the first time.
+  12: optional bool first,
 }
 
 struct BodyChunk {
