Add SWIM membership and the table follower

Nodes had no list of members and no way to learn of table changes. Membership now probes over UDP, piggybacks updates, reconciles over TCP and retries lost addresses; the table follower pulls newer revisions from the peer that has them or, on readers, from the table service.

The transport sends control frames also on connections that peers have opened, because their owners are the ones that send work to a leaving node. Lists and strings of received structs are bounded before memory is reserved.

--- a/src/savorystand/gateway/admin.py
+++ b/src/savorystand/gateway/admin.py
@@ -13,6 +13,7 @@
 from savorystand.gateway.asgi import Reply
 from savorystand.gateway.asgi import json_reply
 from savorystand.gateway.headers import header
+from savorystand.membership.conversion import MAX_NAME_BYTES
 from savorystand.membership.directory import Directory
 
 if TYPE_CHECKING:
@@ -113,7 +114,8 @@
 
 def _announce(directory: Directory, query: Query) -> Reply:
     pool = query.get('pool', [''])[0]
-    if not pool:
-        return json_reply({'error': 'pool missing'}, status=_BAD_REQUEST)
+    if not 0 < len(pool.encode()) <= MAX_NAME_BYTES:
+        detail = f'pool must have 1 to {MAX_NAME_BYTES} bytes'
+        return json_reply({'error': detail}, status=_BAD_REQUEST)
     directory.announce(pool)
     return Reply(status=_NO_CONTENT)
--- /dev/null
+++ b/src/savorystand/membership/conversion.py
@@ -0,0 +1,130 @@
+"""Member records and datagrams in their wire form, with bounds."""
+
+from __future__ import annotations
+
+import ipaddress
+import sys
+
+from savorystand.membership.member import Member
+from savorystand.membership.member import MemberState
+from savorystand.transport.address import PeerAddress
+from savorystand.wire.codec import Message
+from savorystand.wire.codec import decode_struct
+from savorystand.wire.codec import require_fields
+from savorystand.wire.errors import FrameError
+from savorystand.wire.gen.wire import ttypes
+
+MAX_DATAGRAM_BYTES = 1400
+# With six such strings a record stays below a fifth of a datagram.
+MAX_NAME_BYTES = 64
+# More minimal records than this do not fit into a datagram.
+MAX_UPDATES = 64
+_MAX_NUMBER = 0x3FFFFFFFFFFFFFFF
+_MAX_PORT = 65535
+
+
+def wire_record(member: Member) -> Message:
+    """Return the thrift struct of a record."""
+    return ttypes.Member(
+        node_id=member.peer.node_id,
+        started_ms=member.started_ms,
+        version=member.version,
+        state=int(member.state),
+        host=member.peer.host,
+        port=member.peer.port,
+        failure_domain=member.failure_domain,
+        region=member.region,
+        pool=member.pool,
+        revision=member.revision,
+    )
+
+
+def record_from(record: Message) -> Member:
+    """Return the record of a thrift struct.
+
+    Names that many records share are interned, which keeps the list small.
+
+    Raises:
+        FrameError: a field is out of bounds.
+    """
+    require_fields(record)
+    for name in (record.failure_domain, record.region, record.pool):
+        if len(name.encode()) > MAX_NAME_BYTES:
+            raise FrameError('name in a member record is too long')
+    for number in (record.started_ms, record.version, record.revision):
+        if not 0 <= number <= _MAX_NUMBER:
+            raise FrameError(f'number {number} in a member record')
+    try:
+        state = MemberState(record.state)
+    except ValueError as exc:
+        raise FrameError(f'unknown member state {record.state}') from exc
+    return Member(
+        peer=address_from(record),
+        started_ms=record.started_ms,
+        version=record.version,
+        state=state,
+        failure_domain=sys.intern(record.failure_domain),
+        region=sys.intern(record.region),
+        pool=sys.intern(record.pool),
+        revision=record.revision,
+    )
+
+
+def address_from(record: Message) -> PeerAddress:
+    """Return the address in a member record or a probe request.
+
+    Raises:
+        FrameError: a field is out of bounds or the host is no IP number.
+    """
+    require_fields(record)
+    check_name(record.node_id)
+    try:
+        ipaddress.ip_address(record.host)
+    except ValueError as exc:
+        raise FrameError('host of a member is no IP number') from exc
+    if not 0 < record.port <= _MAX_PORT:
+        raise FrameError(f'port {record.port} of a member')
+    return PeerAddress(
+        node_id=record.node_id,
+        host=sys.intern(record.host),
+        port=record.port,
+    )
+
+
+def members_from(records: list[Message], limit: int) -> list[Member]:
+    """Return the records of a list of thrift structs.
+
+    Raises:
+        FrameError: the list is longer than ``limit`` or a record is invalid.
+    """
+    if len(records) > limit:
+        raise FrameError(f'{len(records)} member records in one message')
+    return [record_from(record) for record in records]
+
+
+def decode_gossip(datagram: bytes) -> Message:
+    """Return the thrift struct of a datagram.
+
+    Raises:
+        FrameError: the datagram is too long or malformed.
+    """
+    if len(datagram) > MAX_DATAGRAM_BYTES:
+        raise FrameError(f'datagram of {len(datagram)} bytes')
+    gossip = decode_struct(ttypes.Gossip(), datagram)
+    check_name(gossip.sender)
+    for part in (gossip.probe, gossip.ack, gossip.request):
+        if part is not None:
+            require_fields(part)
+    if not 0 <= gossip.revision <= _MAX_NUMBER:
+        raise FrameError(f'revision {gossip.revision} in a datagram')
+    return gossip
+
+
+def check_name(node_id: str) -> None:
+    """Check a node id.
+
+    Raises:
+        FrameError: it is empty or longer than ``MAX_NAME_BYTES``.
+    """
+    if not 0 < len(node_id.encode()) <= MAX_NAME_BYTES:
+        raise FrameError('node id of invalid length')
--- /dev/null
+++ b/src/savorystand/membership/datagrams.py
@@ -0,0 +1,53 @@
+"""The UDP socket of membership."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+import anyio
+
+if TYPE_CHECKING:
+    from anyio.abc import UDPSocket
+
+DatagramReceiver: TypeAlias = Callable[[bytes, str, int], None]
+
+# Datagrams that wait for the socket; more are dropped like lost ones.
+_WAITING = 256
+
+
+class DatagramPort:
+    """Sends without blocking and passes on what arrives."""
+
+    __slots__ = ('_inbox', '_outbox')
+
+    def __init__(self) -> None:
+        """Create the queue of datagrams to send."""
+        streams = anyio.create_memory_object_stream[tuple[bytes, str, int]](
+            _WAITING,
+        )
+        self._outbox = streams[0]
+        self._inbox = streams[1]
+
+    def send(self, datagram: bytes, host: str, port: int) -> None:
+        """Queue a datagram; it counts as lost if the socket is behind."""
+        try:
+            self._outbox.send_nowait((datagram, host, port))
+        except anyio.WouldBlock:
+            # The protocol repeats what matters.
+            return
+
+    async def deliver(self, udp: UDPSocket) -> None:
+        """Send queued datagrams until cancelled."""
+        async for datagram, host, port in self._inbox:
+            try:
+                await udp.sendto(datagram, host, port)
+            except OSError:
+                # No path to the receiver: the datagram counts as lost.
+                await anyio.lowlevel.checkpoint()
+
+    async def receive(self, udp: UDPSocket, receiver: DatagramReceiver) -> None:
+        """Pass each datagram that arrives to ``receiver`` until cancelled."""
+        async for datagram, (host, port) in udp:
+            receiver(datagram, host, port)
--- /dev/null
+++ b/src/savorystand/membership/membership.py
@@ -0,0 +1,221 @@
+"""The membership service of a node."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+import anyio
+
+from savorystand.clock import Clock
+from savorystand.kernel.service import Service
+from savorystand.membership.contacts import Contacts
+from savorystand.membership.datagrams import DatagramPort
+from savorystand.membership.exchanges import Exchanges
+from savorystand.membership.member import Member
+from savorystand.membership.member import MemberState
+from savorystand.membership.member_list import MemberList
+from savorystand.membership.swim import RevisionObserver
+from savorystand.membership.swim import Swim
+from savorystand.transport.address import PeerAddress
+from savorystand.transport.network import Network
+from savorystand.transport.peers import PeerTransport
+from savorystand.wire.codec import Message
+from savorystand.wire.gen.wire import ttypes
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from anyio.abc import TaskStatus
+
+    from savorystand.kernel.kernel import Kernel
+    from savorystand.settings.node import NodeSettings
+
+_TICK_MS = 100
+# Four datagrams of 1,400 bytes a second: within 16 KB a second with probes.
+_GOSSIP_MS = 250
+_SECOND_MS = 1000
+_RECONCILE_MS = 10000
+
+FrameAnswer: TypeAlias = Callable[[Message], Message | None]
+
+
+class Membership(Service):
+    """Knows the members; answers the control frames of peers."""
+
+    __slots__ = (
+        '_clock',
+        '_exchanges',
+        '_kernel',
+        '_members',
+        '_port',
+        '_swim',
+        '_tables_answer',
+    )
+
+    def __init__(
+        self,
+        *,
+        kernel: Kernel,
+        cfg: NodeSettings,
+        node_id: str,
+    ) -> None:
+        """Start as a joining member; ``run`` contacts the seeds of ``cfg``."""
+        self._kernel = kernel
+        self._clock = kernel.find('clock', Clock)
+        rng = random.Random()
+        own = _own_record(cfg, node_id, self._clock.wall())
+        self._members = MemberList(clock=self._clock, own=own)
+        contacts = Contacts(
+            records=self._members.records,
+            clock=self._clock,
+            rng=rng,
+        )
+        self._port = DatagramPort()
+        self._swim = Swim(
+            members=self._members,
+            clock=self._clock,
+            rng=rng,
+            send=self._port.send,
+            on_contact=contacts.add,
+        )
+        self._swim.seeds = _seeds(cfg)
+        self._exchanges = Exchanges(
+            members=self._members,
+            contacts=contacts,
+            on_failure=self._swim.check,
+        )
+        self._tables_answer: FrameAnswer | None = None
+
+    def myself(self) -> Member:
+        """Return the record of this node."""
+        return self._members.records.own
+
+    def serving(self, pool: str) -> list[Member]:
+        """Return the members that may get new work; do not modify the list.
+
+        Suspected members are included only if the pool has no others.
+        """
+        return self._members.records.serving(pool)
+
+    def lookup(self, node_id: str) -> Member | None:
+        """Return the member of that node id, whatever its state."""
+        return self._members.records.lookup(node_id)
+
+    def members(self) -> Iterable[Member]:
+        """Return all known members, dead ones included."""
+        return self._members.records.everyone()
+
+    def announce(self, pool: str) -> None:
+        """Say that the own target serves ``pool`` from now on."""
+        own = self._members.records.own
+        if (own.state, own.pool) != (MemberState.SERVING, pool):
+            self._members.declare(state=MemberState.SERVING, pool=pool)
+            self._swim.spread()
+
+    def leave(self) -> None:
+        """Say that the own target takes no new work from now on."""
+        own = self._members.records.own
+        if own.state is MemberState.LEAVING:
+            return
+        self._members.declare(state=MemberState.LEAVING, pool=own.pool)
+        self._swim.spread()
+        leaving = ttypes.Leaving(node_id=own.peer.node_id)
+        transport = self._kernel.find('transport', PeerTransport)
+        transport.send_open(ttypes.Frame(leaving=leaving))
+
+    def observe_failure(self, peer: PeerAddress) -> None:
+        """Probe a peer to which a connection has failed."""
+        self._swim.check(peer.node_id)
+
+    def on_revision(self, observer: RevisionObserver) -> None:
+        """Pass newer table revisions and the peer that has them on."""
+        self._swim.revision_observers.append(observer)
+
+    def set_revision(self, revision: int) -> None:
+        """Record the own table revision and tell some members at once.
+
+        Each of them tells others when it has the tables, so that all members
+        learn of a change well before their next probe.
+        """
+        own = self._members.records.own
+        if revision > own.revision:
+            self._members.records.note_revision(own.peer.node_id, revision)
+            self._swim.spread()
+
+    def answer_tables(self, answer: FrameAnswer) -> None:
+        """Let ``answer`` reply to the ``TablesPull`` frames of peers."""
+        self._tables_answer = answer
+
+    def answer(self, frame: Message) -> Message | None:
+        """Return the reply to a control frame, if it has one."""
+        if frame.tables_pull is None:
+            return self._exchanges.answer(frame)
+        if self._tables_answer is None:
+            return None
+        return self._tables_answer(frame)
+
+    async def run(self, *, task_status: TaskStatus[None]) -> None:
+        """Take part in the membership protocol until cancelled.
+
+        Raises:
+            OSError: the own address cannot be bound.
+        """
+        network = self._kernel.find('network', Network)
+        transport = self._kernel.find('transport', PeerTransport)
+        own = self._members.records.own.peer
+        udp = await network.datagrams(own.host, own.port)
+        duties = (
+            (_TICK_MS, lambda: self._expire(transport)),
+            (_TICK_MS, self._exchanges.begin_waiting),
+            (_GOSSIP_MS, self._swim.gossip),
+            (_SECOND_MS, self._swim.probe_next),
+            (_SECOND_MS, self._swim.retry_lost),
+            (_RECONCILE_MS, self._exchanges.begin_regular),
+        )
+        async with udp, anyio.create_task_group() as tasks:
+            self._exchanges.start(transport, tasks)
+            tasks.start_soon(self._port.receive, udp, self._swim.receive)
+            tasks.start_soon(self._port.deliver, udp)
+            for period_ms, step in duties:
+                tasks.start_soon(_repeat, self._clock, period_ms, step)
+            self._swim.join()
+            task_status.started()
+
+    def _expire(self, transport: PeerTransport) -> None:
+        for member in self._swim.expire():
+            transport.forget(member.peer)
+
+
+async def _repeat(
+    clock: Clock,
+    period_ms: float,
+    step: Callable[[], object],
+) -> None:
+    while True:
+        await clock.sleep(period_ms)
+        step()
+
+
+def _seeds(cfg: NodeSettings) -> tuple[tuple[str, int], ...]:
+    own = (cfg.peers.host, cfg.peers.port)
+    seeds = ((seed.host, seed.port) for seed in cfg.seeds)
+    return tuple(seed for seed in seeds if seed != own)
+
+
+def _own_record(cfg: NodeSettings, node_id: str, started_ms: int) -> Member:
+    return Member(
+        peer=PeerAddress(
+            node_id=node_id,
+            host=cfg.peers.host,
+            port=cfg.peers.port,
+        ),
+        started_ms=started_ms,
+        version=1,
+        state=MemberState.JOINING,
+        failure_domain=cfg.failure_domain,
+        region=cfg.region,
+        pool='',
+    )
--- /dev/null
+++ b/src/savorystand/membership/outgoing.py
@@ -0,0 +1,108 @@
+"""Datagrams of this node, filled up with member updates."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+from savorystand.membership.conversion import MAX_DATAGRAM_BYTES
+from savorystand.membership.conversion import wire_record
+from savorystand.membership.member import Member
+from savorystand.membership.member import MemberState
+from savorystand.membership.updates import UpdateQueue
+from savorystand.transport.address import PeerAddress
+from savorystand.wire.codec import Message
+from savorystand.wire.codec import encode_struct
+from savorystand.wire.gen.wire import ttypes
+
+if TYPE_CHECKING:
+    import random
+
+    from savorystand.membership.probes import Relay
+    from savorystand.membership.records import MemberRecords
+
+DatagramSender: TypeAlias = Callable[[bytes, str, int], None]
+
+# A receiver in one of these states is told, so that it refutes.
+_DOUBTED = frozenset((MemberState.SUSPECT, MemberState.DEAD))
+# Length of the list of updates, in bytes, beyond that of an empty list.
+_LIST_BYTES = 8
+
+
+class Outgoing:
+    """Builds datagrams and passes them on."""
+
+    __slots__ = ('_random', '_records', '_send_datagram', '_updates')
+
+    def __init__(
+        self,
+        *,
+        records: MemberRecords,
+        rng: random.Random,
+        send: DatagramSender,
+    ) -> None:
+        """Send datagrams with ``send``, which must not block."""
+        self._records = records
+        self._random = rng
+        self._send_datagram = send
+        self._updates = UpdateQueue()
+        records.on_change(self._updates.push)
+
+    def waiting(self) -> int:
+        """Return the number of updates that wait to be sent."""
+        return len(self._updates)
+
+    def send(
+        self,
+        peer: PeerAddress,
+        gossip: Message,
+        *,
+        introduce: bool = False,
+    ) -> None:
+        """Complete a datagram and send it.
+
+        The record of a receiver that is believed gone comes first, so that it
+        can refute; the own record follows if the receiver may not have it.
+        """
+        own = self._records.own
+        known = self._records.lookup(peer.node_id)
+        first = [known] if known and known.state in _DOUBTED else []
+        if introduce:
+            first.append(own)
+        gossip.sender = own.peer.node_id
+        gossip.revision = own.revision
+        gossip.updates = [wire_record(member) for member in first]
+        used = len(encode_struct(gossip)) + _LIST_BYTES
+        room = MAX_DATAGRAM_BYTES - used
+        gossip.updates += self._updates.take(room, len(self._records))
+        self._send_datagram(encode_struct(gossip), peer.host, peer.port)
+
+    def contact(self, host: str, port: int) -> None:
+        """Send a probe to an address whatever process listens there."""
+        known = self._records.at(host, port)
+        node_id = '' if known is None else known.peer.node_id
+        peer = PeerAddress(node_id=node_id, host=host, port=port)
+        probe = ttypes.Probe(sequence=0)
+        self.send(peer, ttypes.Gossip(probe=probe), introduce=True)
+
+    def forward(self, relay: Relay | None) -> None:
+        """Tell the node for which a probe was made of its answer."""
+        if relay is not None:
+            origin = PeerAddress(node_id='', host=relay.host, port=relay.port)
+            ack = ttypes.ProbeAck(sequence=relay.sequence)
+            self.send(origin, ttypes.Gossip(ack=ack))
+
+    def spread(self, count: int) -> None:
+        """Send the newest updates and the own table revision to some."""
+        for member in self.sample(count):
+            self.send(member.peer, ttypes.Gossip())
+
+    def sample(self, count: int, *, without: str = '') -> list[Member]:
+        """Return up to ``count`` random members other than ``without``."""
+        others = [
+            member
+            for member in self._records.others()
+            if member.peer.node_id != without
+        ]
+        return self._random.sample(others, min(count, len(others)))
--- /dev/null
+++ b/src/savorystand/membership/updates.py
@@ -0,0 +1,73 @@
+"""Member updates waiting to be piggybacked on datagrams."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import final
+
+from savorystand.membership.conversion import wire_record
+from savorystand.wire.codec import Message
+from savorystand.wire.codec import encode_struct
+
+if TYPE_CHECKING:
+    from savorystand.membership.member import Member
+
+# Each update is sent 3 x log2(n) times, which reaches every member with high
+# probability (Das et al., 2002).
+_SENDS_FACTOR = 3
+
+
+@final
+@dataclass(slots=True, kw_only=True)
+class _Update:
+    record: Message
+    size: int
+    sends: int = 0
+
+
+class UpdateQueue:
+    """Holds at most one update a member, the newest last."""
+
+    __slots__ = ('_updates',)
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._updates: dict[str, _Update] = {}
+
+    def __len__(self) -> int:
+        """Return the number of updates that wait."""
+        return len(self._updates)
+
+    def push(self, member: Member) -> None:
+        """Add an update, in place of an older one about the same member."""
+        node_id = member.peer.node_id
+        record = wire_record(member)
+        self._updates.pop(node_id, None)
+        self._updates[node_id] = _Update(
+            record=record,
+            size=len(encode_struct(record)),
+        )
+
+    def take(self, room: int, members: int) -> list[Message]:
+        """Return updates of at most ``room`` bytes, newest first.
+
+        ``members`` is the size of the list, which sets how often each update
+        is sent.
+        """
+        limit = _SENDS_FACTOR * max(1, math.ceil(math.log2(max(2, members))))
+        taken: list[Message] = []
+        spent: list[str] = []
+        for node_id in reversed(self._updates):
+            update = self._updates[node_id]
+            room -= update.size
+            if room < 0:
+                break
+            taken.append(update.record)
+            update.sends += 1
+            if update.sends >= limit:
+                spent.append(node_id)
+        for done in spent:
+            del self._updates[done]
+        return taken
--- /dev/null
+++ b/src/savorystand/tables/platform_reader.py
@@ -0,0 +1,123 @@
+"""Reads accepted revisions from the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import Protocol
+from typing import TypeAlias
+
+import anyio
+
+from savorystand.clock import MS_PER_SECOND
+from savorystand.platform.errors import StoreError
+from savorystand.tables.document import TablesDocument
+from savorystand.tables.readers import is_reader
+
+if TYPE_CHECKING:
+    import random
+
+    from savorystand.clock import Clock
+    from savorystand.membership.directory import Directory
+    from savorystand.tables.document import TablesSource
+
+_READ_MS = 1000
+_MAX_BACKOFF_MS = 2000
+# A store that does not answer is given up on and asked again.
+_READ_LIMIT_MS = 2000
+# What peers get to answer before a node without tables asks the platform.
+_PEERS_FIRST_MS = 2000
+
+SnapshotReader: TypeAlias = Callable[[], Awaitable[TablesDocument | None]]
+
+
+class Installer(Protocol):
+    """Puts what was read into force."""
+
+    def revision(self) -> int:
+        """Return the revision in force, 0 if there is none."""
+
+    def wants(self, revision: int) -> bool:
+        """Return True if a revision is newer and was not found invalid."""
+
+    def install(self, document: TablesDocument) -> bool:
+        """Put a document into force; return False if it cannot be."""
+
+
+class PlatformReader:
+    """Reads the table service in this node's turn, or to begin."""
+
+    __slots__ = (
+        '_clock',
+        '_directory',
+        '_random',
+        '_snapshot',
+        '_source',
+        '_tables',
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        directory: Directory,
+        tables: Installer,
+        source: TablesSource | None,
+        snapshot: SnapshotReader | None,
+        rng: random.Random,
+    ) -> None:
+        """Read from ``source`` and ``snapshot`` into ``tables``."""
+        self._clock = clock
+        self._directory = directory
+        self._tables = tables
+        self._source = source
+        self._snapshot = snapshot
+        self._random = rng
+
+    async def run(self) -> None:
+        """Read once a second until cancelled; errors only delay it."""
+        await self._clock.sleep(_PEERS_FIRST_MS)
+        while True:
+            if await self._read_in_time():
+                pause_ms: float = _READ_MS
+            else:
+                # Jitter keeps readers from returning to a store together.
+                pause_ms = self._random.uniform(_READ_MS, _MAX_BACKOFF_MS)
+            await self._clock.sleep(pause_ms)
+
+    async def read(self) -> None:
+        """Read what this node has to.
+
+        Raises:
+            StoreError: the platform gave no answer.
+        """
+        if self._tables.revision() and not is_reader(self._directory):
+            return
+        try:
+            await self._read_source()
+        finally:
+            await self._read_snapshot()
+
+    async def _read_in_time(self) -> bool:
+        with anyio.move_on_after(_READ_LIMIT_MS / MS_PER_SECOND):
+            try:
+                await self.read()
+            except StoreError:
+                return False
+            return True
+        return False
+
+    async def _read_source(self) -> None:
+        if self._source is None:
+            return
+        head = await self._source.head_revision()
+        if self._tables.wants(head):
+            self._tables.install(await self._source.fetch(head))
+
+    async def _read_snapshot(self) -> None:
+        if self._snapshot is None or self._tables.revision():
+            return
+        document = await self._snapshot()
+        if document is not None:
+            self._tables.install(document)
--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -50,6 +50,7 @@
         '_load_observers',
         '_locks',
         '_port',
+        '_served',
         '_tasks',
     )
 
@@ -63,6 +64,7 @@
         self._locks: dict[PeerAddress, anyio.Lock] = {}
         self._load_observers: list[LoadObserver] = []
         self._control_observers: list[ControlObserver] = []
+        self._served: set[ServerConnection] = set()
         self._tasks: TaskGroup | None = None
 
     def on_load(self, observer: LoadObserver) -> None:
@@ -107,9 +109,14 @@
             conn.send(frame)
 
     def send_open(self, frame: Message) -> None:
-        """Send a control frame on each connection that is open."""
+        """Send a control frame on each connection that is open.
+
+        Those that peers have opened count: their owners send work here.
+        """
         for conn in self._connections.values():
             conn.send(frame)
+        for served in self._served:
+            served.send(frame)
 
     def forget(self, peer: PeerAddress) -> None:
         """Drop the connection to a peer that is gone for good."""
@@ -160,7 +167,11 @@
             inbound=self._kernel.find('inbound', InboundHandler),
             control=self._kernel.find('control', ControlPeer),
         )
-        await conn.run(stream)
+        self._served.add(conn)
+        try:
+            await conn.run(stream)
+        finally:
+            self._served.discard(conn)
 
     def _observe_load(self, peer: PeerAddress, load: TargetLoad) -> None:
         for observer in self._load_observers:
--- a/src/savorystand/wire/codec.py
+++ b/src/savorystand/wire/codec.py
@@ -51,7 +51,12 @@
     Raises:
         FrameError: the bytes are not a whole struct of that type.
     """
-    protocol = TCompactProtocolAccelerated(TMemoryBuffer(encoded))
+    protocol = TCompactProtocolAccelerated(
+        TMemoryBuffer(encoded),
+        # Memory is reserved by the length that a list claims to have.
+        string_length_limit=MAX_FRAME_BYTES,
+        container_length_limit=MAX_FRAME_BYTES,
+    )
     try:
         message.read(protocol)
         message.validate()
@@ -60,6 +65,20 @@
     return message
 
 
+def require_fields(message: Message) -> None:
+    """Check that a nested struct has all its required fields.
+
+    ``decode_struct`` checks those of the outermost struct only.
+
+    Raises:
+        FrameError: a required field is missing.
+    """
+    try:
+        message.validate()
+    except TException as exc:
+        raise FrameError(f'incomplete {type(message).__name__}: {exc}') from exc
+
+
 def encode_frame(frame: Message) -> bytes:
     """Return length and body of a frame, ready to be written.
 
--- a/src/savorystand/wire/gen/wire/ttypes.py
+++ b/src/savorystand/wire/gen/wire/ttypes.py
@@ -1517,16 +1517,22 @@
     """
     Attributes:
      - known_revision
+     - part
+     - revision
 
     """
 
     __slots__ = (
         'known_revision',
+        'part',
+        'revision',
     )
 
 
-    def __init__(self, known_revision=None,):
+    def __init__(self, known_revision=None, part=None, revision=None,):
         self.known_revision = known_revision
+        self.part = part
+        self.revision = revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1542,6 +1548,16 @@
                     self.known_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.part = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1556,6 +1572,14 @@
             oprot.writeFieldBegin('known_revision', TType.I64, 1)
             oprot.writeI64(self.known_revision)
             oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.I32, 2)
+            oprot.writeI32(self.part)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1590,6 +1614,8 @@
      - routes
      - pools
      - change_id
+     - part
+     - parts
 
     """
 
@@ -1598,14 +1624,18 @@
         'routes',
         'pools',
         'change_id',
+        'part',
+        'parts',
     )
 
 
-    def __init__(self, revision=None, routes=None, pools=None, change_id=None,):
+    def __init__(self, revision=None, routes=None, pools=None, change_id=None, part=None, parts=None,):
         self.revision = revision
         self.routes = routes
         self.pools = pools
         self.change_id = change_id
+        self.part = part
+        self.parts = parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1636,6 +1666,16 @@
                     self.change_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.part = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.parts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1662,6 +1702,14 @@
             oprot.writeFieldBegin('change_id', TType.STRING, 4)
             oprot.writeString(self.change_id.encode('utf-8') if sys.version_info[0] == 2 else self.change_id)
             oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.I32, 5)
+            oprot.writeI32(self.part)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.I32, 6)
+            oprot.writeI32(self.parts)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2760,6 +2808,8 @@
 TablesPull.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'known_revision', None, None, ),  # 1
+    (2, TType.I32, 'part', None, None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
 )
 all_structs.append(TablesPush)
 TablesPush.thrift_spec = (
@@ -2768,6 +2818,8 @@
     (2, TType.STRING, 'routes', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'pools', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'change_id', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'part', None, None, ),  # 5
+    (6, TType.I32, 'parts', None, None, ),  # 6
 )
 all_structs.append(BucketDigest)
 BucketDigest.thrift_spec = (
--- /dev/null
+++ b/tests/membership/test_convergence.py
@@ -0,0 +1,118 @@
+"""Member lists under loss, delay, pauses, restarts and partitions."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import rule
+
+from savorystand.membership.member import MemberState
+from tests.membership.fake_network import BASE_PORT
+from tests.membership.fake_network import FakeNetwork
+
+NODES = 7
+PORTS = st.integers(BASE_PORT, BASE_PORT + NODES - 1)
+QUIET_MS = 20000
+
+
+class Churn(RuleBasedStateMachine):
+    """Guards against lost members, false deaths and stale targets.
+
+    The oracle is the set of running processes and their own records.
+    """
+
+    @initialize(seed=st.integers(0, 1000))
+    def begin(self, seed: int) -> None:
+        self.net = FakeNetwork(rng=random.Random(seed))
+        for port in range(BASE_PORT, BASE_PORT + NODES):
+            self.net.start(port)
+
+    @rule(ms=st.sampled_from((50, 300, 1000, 4000, 9000)))
+    def wait(self, ms: int) -> None:
+        self.net.run(ms)
+
+    @rule(loss=st.sampled_from((0, 0.1, 0.5)), delay=st.integers(1, 800))
+    def disturb(self, loss: float, delay: int) -> None:
+        self.net.loss = loss
+        self.net.delay_ms = delay
+
+    @rule(ports=st.sets(PORTS))
+    def partition(self, ports: set[int]) -> None:
+        self.net.sides = dict.fromkeys(ports, 1)
+
+    @rule(port=PORTS)
+    def pause_or_resume(self, port: int) -> None:
+        node = self.net.nodes.get(port)
+        if node is not None:
+            node.paused = not node.paused
+
+    @rule(port=PORTS, setback_ms=st.sampled_from((0, 0, 60000)))
+    def restart(self, port: int, setback_ms: int) -> None:
+        self.net.start(port, setback_ms=setback_ms)
+
+    @rule(port=PORTS)
+    def stop(self, port: int) -> None:
+        if len(self.net.nodes) > 2:
+            self.net.nodes.pop(port, None)
+
+    @rule(port=PORTS, state=st.sampled_from(('SERVING', 'LEAVING')))
+    def declare(self, port: int, state: str) -> None:
+        node = self.net.nodes.get(port)
+        if node is not None and not node.paused:
+            node.members.declare(state=MemberState[state], pool='pool')
+            node.swim.spread()
+
+    @rule()
+    def settle(self) -> None:
+        net = self.net
+        net.loss = 0
+        net.delay_ms = 20
+        net.sides = {}
+        for node in net.nodes.values():
+            node.paused = False
+        if not net.nodes.keys() & set(net.seeds):
+            # Without any seed, nodes that never met cannot find each other.
+            net.start(net.seeds[0])
+        net.run(QUIET_MS)
+        truth = net.truth()
+        for node in net.nodes.values():
+            assert node.alive() == truth
+            serving = {
+                member.peer.node_id for member in node.records.serving('pool')
+            }
+            assert serving == {
+                node_id
+                for node_id, (_, state) in truth.items()
+                if state is MemberState.SERVING
+            }
+            assert node.swim.malformed == 0
+
+    def teardown(self) -> None:
+        if hasattr(self, 'net'):
+            self.settle()
+
+
+TestChurn = Churn.TestCase
+TestChurn.settings = settings(max_examples=40, stateful_step_count=20)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_healed_partition_converges_within_5_seconds(seed: int) -> None:
+    """Sides that believe each other dead must find each other by retries."""
+    net = FakeNetwork(rng=random.Random(seed))
+    ports = range(BASE_PORT, BASE_PORT + 24)
+    for port in ports:
+        net.start(port)
+    net.run(15000)
+    assert net.converged()
+    net.sides = {side: side % 6 // 3 for side in ports}
+    net.run(30000)
+    assert all(len(node.alive()) == 12 for node in net.nodes.values())
+    net.sides = {}
+    net.run(5000)
+    assert net.converged()
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -103,13 +103,20 @@
 
 struct TablesPull {
   1: required i64 known_revision,
+  // Part asked for, from 0, and the revision that the parts before it had;
+  // revision 0 asks for whatever is newest.
+  2: optional i32 part,
+  3: optional i64 revision,
 }
 
 struct TablesPush {
   1: required i64 revision,
+  // The slices of both texts that this part carries.
   2: required string routes,
   3: required string pools,
   4: required string change_id,
+  5: optional i32 part,
+  6: optional i32 parts,
 }
 
 struct BucketDigest {
@@ -123,6 +130,7 @@
 
 struct MembersPush {
   1: required list<Member> members,
+  // Buckets whose records the sender asks for.
   2: required list<i16> wanted,
 }
 
