--- a/src/savorystand/gateway/admin.py
+++ b/src/savorystand/gateway/admin.py
@@ -14,6 +14,7 @@
 from savorystand.gateway.asgi import Reply
 from savorystand.gateway.asgi import json_reply
 from savorystand.gateway.headers import header
+from savorystand.membership.conversion import MAX_NAME_BYTES
 
 if TYPE_CHECKING:
     from savorystand.call import Headers
@@ -113,7 +114,8 @@
 
 def _announce(own_pool: OwnPool, query: Query) -> Reply:
     pool = query.get('pool', [''])[0]
-    if not pool:
-        return json_reply({'error': 'pool missing'}, status=_BAD_REQUEST)
+    if not 0 < len(pool.encode()) <= MAX_NAME_BYTES:
+        detail = f'pool must have 1 to {MAX_NAME_BYTES} bytes'
+        return json_reply({'error': detail}, status=_BAD_REQUEST)
     own_pool.announce(pool)
     return Reply(status=_NO_CONTENT)
--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -109,9 +109,14 @@
             conn.send(frame)
 
     def send_open(self, frame: Message) -> None:
-        """Send a control frame on each connection that is open."""
+        """Send a control frame on each connection that is open.
+
+        Those that peers have opened count: their owners send work here.
+        """
         for conn in self._connections.values():
             conn.send(frame)
+        for served in self._serving:
+            served.send(frame)
 
     def forget(self, peer: PeerAddress) -> None:
         """Drop the connection to a peer that is gone for good."""
