--- /dev/null
+++ b/src/savorystand/admission/forecast.py
@@ -0,0 +1,81 @@
+"""Whether a call can still be served in time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import final
+
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+
+if TYPE_CHECKING:
+    from savorystand.admission.service_times import Estimate
+    from savorystand.admission.service_times import ServiceTimes
+    from savorystand.admission.slots import Slots
+    from savorystand.admission.waiting import WaitingCalls
+    from savorystand.call import Call
+
+_MIN_RETRY_AFTER_MS = 100
+_MAX_RETRY_AFTER_MS = 5000
+
+
+@final
+class Forecast:
+    """Expected queueing from slots, queue and mean service times."""
+
+    __slots__ = ('_slots', '_times', '_waiting')
+
+    def __init__(
+        self,
+        *,
+        slots: Slots,
+        times: ServiceTimes,
+        waiting: WaitingCalls,
+    ) -> None:
+        """Read the state of the admission queue."""
+        self._slots = slots
+        self._times = times
+        self._waiting = waiting
+
+    def wait_ms(self, rank: int, *, is_long: bool) -> float:
+        """Return the expected queueing of a new call of that importance."""
+        if self._slots.has_free(is_long=is_long):
+            return 0
+        ahead = self._waiting.ahead(rank, is_long=is_long) + 1
+        mean_ms = self._times.mean_ms(is_long=is_long)
+        return ahead * mean_ms / self._slots.usable(is_long=is_long)
+
+    def refusal(
+        self,
+        call: Call,
+        estimate: Estimate,
+        *,
+        left_ms: float,
+        admitted_rank: int,
+    ) -> NotRun | None:
+        """Return why a new call should be refused at once, if it should."""
+        if left_ms <= estimate.service_ms:
+            detail = f'likely service time is {estimate.service_ms:.0f} ms'
+            return NotRun(reason=Reason.DEADLINE, detail=detail)
+        # A free slot is used whatever the admitted rank, which lags.
+        if self._slots.has_free(is_long=estimate.is_long):
+            return None
+        if call.context.importance < admitted_rank:
+            return self.overloaded('importance not admitted', call, estimate)
+        rank = call.context.importance
+        wait_ms = self.wait_ms(rank, is_long=estimate.is_long)
+        if left_ms < wait_ms + estimate.service_ms:
+            detail = f'expected wait is {wait_ms:.0f} ms'
+            return self.overloaded(detail, call, estimate)
+        return None
+
+    def overloaded(self, detail: str, call: Call, estimate: Estimate) -> NotRun:
+        """Return the refusal of a call that the queue has no place for."""
+        rank = call.context.importance
+        wait_ms = self.wait_ms(rank, is_long=estimate.is_long)
+        bounded = min(max(wait_ms, _MIN_RETRY_AFTER_MS), _MAX_RETRY_AFTER_MS)
+        return NotRun(
+            reason=Reason.OVERLOADED,
+            detail=detail,
+            retry_after_ms=int(bounded),
+        )
--- /dev/null
+++ b/src/savorystand/admission/limit.py
@@ -0,0 +1,158 @@
+"""The number of calls that the own target is given at a time."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import final
+
+if TYPE_CHECKING:
+    from savorystand.clock import Clock
+
+# A window closes after this time once it has enough samples, or later with
+# what it has, so that the limit moves several times a second.
+_WINDOW_MS = 100
+_WINDOW_MAX_MS = 400
+_WINDOW_SAMPLES = 5
+# Service times up to this ratio to the long-run minimum count as unloaded.
+_TOLERANCE = 1.5
+_MAX_CUT = 0.5
+_REFUSAL_CUT = 0.7
+# Ten windows raise the limit from its least to all slots.
+_RAISE_FRACTION = 0.1
+# Share of the slots in the steps after a start of the target.
+_START_SHARES = (0.25, 0.5, 0.75)
+_START_STEP_MS = 1000
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class _Trial:
+    """A cut whose effect on service time is being measured."""
+
+    level: float
+    ratio: float
+
+
+@final
+class ConcurrencyLimit:
+    """Gradient limit: short-term against long-run service time.
+
+    After the gradient limit of Netflix's concurrency-limits (2018). A cut is
+    kept only if service time falls with it: when a target is slow for other
+    reasons, such as a slow disk, a lower limit would only waste its slots.
+    """
+
+    __slots__ = (
+        '_accepted',
+        '_changed_ms',
+        '_clock',
+        '_level',
+        '_peak',
+        '_ratios',
+        '_refusals',
+        '_slots',
+        '_start_ms',
+        '_trial',
+        '_window_ms',
+    )
+
+    def __init__(self, *, clock: Clock) -> None:
+        """Start with one slot until the pool's row is known."""
+        self._clock = clock
+        self._slots = 1
+        self._level = float(1)
+        self._start_ms = clock.now()
+        self._window_ms = self._start_ms
+        self._changed_ms = self._start_ms
+        self._ratios: list[float] = []
+        self._refusals = 0
+        self._peak = 0
+        self._trial: _Trial | None = None
+        self._accepted = float(1)
+
+    def resize(self, slots: int) -> None:
+        """Set the upper bound; the limit starts from it."""
+        if slots == self._slots:
+            return
+        self._slots = max(1, slots)
+        self._level = float(self._slots)
+        self._trial = None
+
+    def restart(self) -> None:
+        """Begin the steps of a target that has just started."""
+        self._start_ms = self._clock.now()
+        self._level = float(self._slots)
+        self._trial = None
+        self._accepted = float(1)
+
+    def slots(self) -> int:
+        """Return the upper bound."""
+        return self._slots
+
+    def current(self) -> int:
+        """Return the present limit, at least 1 and at most the slots."""
+        step = (self._clock.now() - self._start_ms) // _START_STEP_MS
+        cap = float(self._slots)
+        if step < len(_START_SHARES):
+            cap *= _START_SHARES[int(step)]
+        return max(1, int(min(self._level, cap)))
+
+    def record(
+        self, ratio: float, *, started_ms: float, in_flight: int
+    ) -> None:
+        """Record an answer: its service time over the long-run minimum.
+
+        Only calls that started under the present limit tell its effect.
+        """
+        self._peak = max(self._peak, in_flight)
+        if started_ms >= self._changed_ms:
+            self._ratios.append(ratio)
+        self._close_window()
+
+    def record_refusal(self) -> None:
+        """Record that the target itself refused a call as too much."""
+        self._refusals += 1
+        self._close_window()
+
+    def _close_window(self) -> None:
+        now = self._clock.now()
+        age_ms = now - self._window_ms
+        signs = len(self._ratios) + self._refusals * _WINDOW_SAMPLES
+        least_ms = _WINDOW_MS if signs >= _WINDOW_SAMPLES else _WINDOW_MAX_MS
+        if age_ms < least_ms:
+            return
+        if self._refusals:
+            self._trial = None
+            self._change(self._level * _REFUSAL_CUT)
+        elif self._ratios:
+            self._adapt(sum(self._ratios) / len(self._ratios))
+        self._window_ms = now
+        self._ratios.clear()
+        self._refusals = 0
+        self._peak = 0
+
+    def _adapt(self, ratio: float) -> None:
+        if self._trial is not None:
+            self._judge(self._trial, ratio)
+        self._accepted = max(1, min(self._accepted, ratio))
+        gradient = _TOLERANCE * self._accepted / max(ratio, 1)
+        if gradient < 1 and self._level > 1:
+            self._trial = _Trial(level=self._level, ratio=ratio)
+            self._change(self._level * max(_MAX_CUT, gradient))
+        elif self._peak * 2 >= self.current():
+            raised = self._level + max(1, self._slots * _RAISE_FRACTION)
+            self._level = min(self._slots, raised)
+
+    def _judge(self, trial: _Trial, ratio: float) -> None:
+        self._trial = None
+        # Where concurrency causes the delay, both fall in proportion; half of
+        # that fall decides.
+        kept = (1 + self._level / trial.level) / 2
+        if ratio > trial.ratio * kept:
+            self._accepted = ratio
+            self._level = trial.level
+
+    def _change(self, level: float) -> None:
+        self._level = max(1, level)
+        self._changed_ms = self._clock.now()
--- a/src/savorystand/admission/queue.py
+++ b/src/savorystand/admission/queue.py
@@ -2,24 +2,37 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 from dataclasses import dataclass
-from dataclasses import field
+from typing import TYPE_CHECKING
 from typing import final
 
-import anyio
 from expression import Error
 from expression import Ok
 from expression import Result
 
+from savorystand.admission.forecast import Forecast
+from savorystand.admission.limit import ConcurrencyLimit
+from savorystand.admission.service_times import Estimate
+from savorystand.admission.service_times import ServiceTimes
+from savorystand.admission.shedding import AdmittedRank
+from savorystand.admission.slots import Slots
+from savorystand.admission.waiting import Waiter
+from savorystand.admission.waiting import WaitingCalls
 from savorystand.call import Call
+from savorystand.call import Importance
 from savorystand.call import TargetLoad
-from savorystand.clock import MS_PER_SECOND
-from savorystand.clock import Clock
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 
+if TYPE_CHECKING:
+    from savorystand.clock import Clock
+
+# A queue of four times the slots lasts four service times, longer than
+# useful; it only has to absorb bursts.
+_QUEUE_PER_SLOT = 4
+_MIN_QUEUE = 16
+
 
 @final
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -28,90 +41,207 @@
 
     call: Call
     admitted_ms: float
-
-
-@final
-@dataclass(slots=True, kw_only=True, order=True)
-class _Waiter:
-    rank: int
-    order: int
-    ready: anyio.Event = field(compare=False, default_factory=anyio.Event)
-    admitted: bool = field(compare=False, default=False)
+    estimate: Estimate = Estimate(
+        time_class=('', 0), service_ms=0, is_long=False
+    )
 
 
 class AdmissionQueue:
     """Slots of the own target and the calls that wait for one."""
 
-    __slots__ = ('_clock', '_in_flight', '_limit', '_order', '_waiting')
+    __slots__ = (
+        '_clock',
+        '_closes_ms',
+        '_forecast',
+        '_limit',
+        '_order',
+        '_rank',
+        '_usage',
+        '_times',
+        '_waiting',
+    )
 
     def __init__(self, *, clock: Clock) -> None:
         """Start with one slot until the pool's row is known."""
         self._clock = clock
-        self._limit = 1
-        self._in_flight = 0
-        self._waiting: list[_Waiter] = []
+        self._limit = ConcurrencyLimit(clock=clock)
+        self._times = ServiceTimes(clock=clock)
+        self._rank = AdmittedRank(clock=clock)
+        self._usage = Slots(limit=self._limit)
+        self._waiting = WaitingCalls()
+        self._forecast = Forecast(
+            slots=self._usage,
+            times=self._times,
+            waiting=self._waiting,
+        )
         self._order = itertools.count()
+        self._closes_ms: float | None = None
 
     def set_slots(self, slots: int) -> None:
-        """Set the slots of the target, from the pools table."""
-        self._limit = slots
+        """Set the slots of the target, from the pools table.
+
+        A lower number holds from the next call on.
+        """
+        self._limit.resize(slots)
         self._grant()
 
+    def open_to_new_work(self) -> None:
+        """Take new work, in steps: the target has started or returned."""
+        self._closes_ms = None
+        self._limit.restart()
+
+    def drain_after(self, ms: float) -> None:
+        """Refuse new work from ``ms`` milliseconds on.
+
+        Calls that were queued before still run, as peers count on them.
+        """
+        self._closes_ms = self._clock.now() + ms
+
+    def close_to_new_work(self) -> None:
+        """Refuse new work from now on."""
+        self.drain_after(0)
+
     def load(self) -> TargetLoad:
         """Return the load for the reports to callers."""
+        normal = Importance.NORMAL
+        wait_ms = self._forecast.wait_ms(normal, is_long=False)
         return TargetLoad(
-            in_flight=self._in_flight,
+            in_flight=self._usage.in_use(),
             queued=len(self._waiting),
-            limit=self._limit,
+            limit=self._limit.current(),
+            admitted_rank=self._rank.current(),
+            expected_ms=int(wait_ms + self._times.mean_ms(is_long=False)),
         )
 
     def in_progress(self) -> int:
         """Return the number of calls that run or wait."""
-        return self._in_flight + len(self._waiting)
+        return self._usage.in_use() + len(self._waiting)
 
     async def admit(self, call: Call) -> Result[Permit, NotRun]:
-        """Wait for a slot until the call's deadline."""
-        if self._in_flight < self._limit:
-            self._in_flight += 1
-            return Ok(Permit(call=call, admitted_ms=self._clock.now()))
-        waiter = _Waiter(
-            rank=-call.context.importance,
+        """Wait for a slot while the call can still meet its deadline."""
+        now = self._clock.now()
+        if self._closes_ms is not None and now >= self._closes_ms:
+            return Error(NotRun(reason=Reason.DRAINING))
+        self._grant()
+        estimate = self._times.estimate(call)
+        refusal = self._forecast.refusal(
+            call,
+            estimate,
+            left_ms=call.context.deadline_ms - now,
+            admitted_rank=self._rank.current(),
+        )
+        if refusal is not None:
+            return Error(refusal)
+        if self._usage.has_free(is_long=estimate.is_long):
+            self._rank.record(call.context.importance, 0)
+            self._usage.take(is_long=estimate.is_long)
+            return Ok(_permit(call, estimate, now))
+        waiter = Waiter(
+            call=call,
+            estimate=estimate,
             order=next(self._order),
+            arrived_ms=now,
         )
-        heapq.heappush(self._waiting, waiter)
-        return await self._wait(call, waiter)
-
-    def release(self, permit: Permit, *, whole: bool) -> None:
-        """Give the slot back; ``whole`` tells that the call was answered."""
-        self._in_flight -= 1
+        overflow = self._make_room(waiter)
+        if overflow is not None:
+            return Error(overflow)
+        self._waiting.add(waiter)
+        return await self._wait(waiter)
+
+    def release(
+        self,
+        permit: Permit,
+        *,
+        whole: bool,
+        refused: bool = False,
+    ) -> None:
+        """Give the slot back.
+
+        ``whole`` tells that the call was answered, ``refused`` that the
+        target itself refused it.
+        """
+        elapsed_ms = self._clock.now() - permit.admitted_ms
+        in_flight = self._usage.in_use()
+        self._usage.give_back(is_long=permit.estimate.is_long)
+        time_class = permit.estimate.time_class
+        if refused:
+            self._limit.record_refusal()
+        elif whole:
+            self._limit.record(
+                self._times.record(time_class, elapsed_ms),
+                started_ms=permit.admitted_ms,
+                in_flight=in_flight,
+            )
+        else:
+            self._times.record_unfinished(time_class, elapsed_ms)
         self._grant()
 
-    async def _wait(
-        self, call: Call, waiter: _Waiter
-    ) -> Result[Permit, NotRun]:
-        left_ms = call.context.deadline_ms - self._clock.now()
+    def _make_room(self, waiter: Waiter) -> NotRun | None:
+        # Long calls get half of the queue, so that they cannot fill it with
+        # calls that short ones may not evict.
+        bound = max(_MIN_QUEUE, self._limit.slots() * _QUEUE_PER_SLOT)
+        longs = self._waiting.count(is_long=True)
+        long_full = waiter.estimate.is_long and longs * 2 >= bound
+        if len(self._waiting) < bound and not long_full:
+            return None
+        victim = self._waiting.victim(
+            waiter.call.context.importance,
+            with_short=not long_full,
+        )
+        if victim is None:
+            return self._forecast.overloaded(
+                'queue is full', waiter.call, waiter.estimate
+            )
+        refusal = self._forecast.overloaded(
+            'evicted', victim.call, victim.estimate
+        )
+        self._drop(victim, refusal)
+        return None
+
+    async def _wait(self, waiter: Waiter) -> Result[Permit, NotRun]:
         try:
-            with anyio.move_on_after(max(0, left_ms) / MS_PER_SECOND):
-                await waiter.ready.wait()
+            await waiter.until_decided(self._clock)
         except BaseException:
             self._withdraw(waiter)
             raise
         if waiter.admitted:
-            return Ok(Permit(call=call, admitted_ms=self._clock.now()))
-        self._withdraw(waiter)
-        return Error(NotRun(reason=Reason.DEADLINE, detail='queued'))
+            return Ok(_permit(waiter.call, waiter.estimate, self._clock.now()))
+        if waiter.refusal is None:
+            self._drop(waiter, _too_late())
+        return Error(waiter.refusal or _too_late())
 
-    def _withdraw(self, waiter: _Waiter) -> None:
+    def _withdraw(self, waiter: Waiter) -> None:
         if waiter.admitted:
-            self._in_flight -= 1
+            self._usage.give_back(is_long=waiter.estimate.is_long)
             self._grant()
         else:
-            self._waiting.remove(waiter)
-            heapq.heapify(self._waiting)
+            self._waiting.discard(waiter)
 
     def _grant(self) -> None:
-        while self._waiting and self._in_flight < self._limit:
-            waiter = heapq.heappop(self._waiting)
-            waiter.admitted = True
-            self._in_flight += 1
-            waiter.ready.set()
+        while len(self._waiting) and self._usage.has_free(is_long=False):
+            with_long = self._usage.has_free(is_long=True)
+            waiter = self._waiting.first(with_long=with_long)
+            if waiter is None:
+                return
+            now = self._clock.now()
+            if waiter.latest_start_ms() <= now:
+                self._drop(waiter, _too_late())
+                continue
+            self._waiting.discard(waiter)
+            self._rank.record_wait(waiter, now)
+            self._usage.take(is_long=waiter.estimate.is_long)
+            waiter.admit()
+
+    def _drop(self, waiter: Waiter, refusal: NotRun) -> None:
+        self._waiting.discard(waiter)
+        self._rank.record_wait(waiter, self._clock.now())
+        waiter.refuse(refusal)
+
+
+def _permit(call: Call, estimate: Estimate, now: float) -> Permit:
+    return Permit(call=call, admitted_ms=now, estimate=estimate)
+
+
+def _too_late() -> NotRun:
+    detail = 'queued until too late to finish'
+    return NotRun(reason=Reason.DEADLINE, detail=detail)
--- /dev/null
+++ b/src/savorystand/admission/service_times.py
@@ -0,0 +1,167 @@
+"""Service times of the own target, by route and body size."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+from typing import final
+
+from savorystand.clock import MS_PER_SECOND
+from savorystand.clock import Clock
+
+if TYPE_CHECKING:
+    from savorystand.call import Call
+
+TimeClass: TypeAlias = tuple[str, int]
+
+# Bodies up to 4 KiB, 64 KiB, 1 MiB and above form one size class each.
+_SMALL_BODY_SHIFT = 12
+_BITS_PER_CLASS = 4
+# Weight of one sample: a change shows after about ten calls.
+_SAMPLE_WEIGHT = 0.1
+# The long-run minimum ignores the first samples, which carry cold starts, and
+# doubles within a minute so that it follows a lastingly slower target.
+_MIN_SAMPLES = 8
+_FLOOR_DOUBLING_MS = 60000
+# Calls of a class this many times slower than the pool's median are long.
+_LONG_FACTOR = 5
+_MEDIAN_REFRESH_MS = 250
+# Counts halve at each refresh of the median, so that it follows the mix of
+# the last second.
+_COUNT_DECAY = 0.5
+
+
+@final
+@dataclass(slots=True, kw_only=True)
+class _ClassTimes:
+    mean_ms: float
+    sampled_ms: float
+    floor_ms: float = 0
+    samples: int = 0
+    weight: float = 0
+
+    def add(self, elapsed_ms: float, now: float) -> None:
+        self.mean_ms += _SAMPLE_WEIGHT * (elapsed_ms - self.mean_ms)
+        self.samples += 1
+        self.weight += 1
+        if self.samples < _MIN_SAMPLES:
+            self.floor_ms = self.mean_ms
+        else:
+            idle_ms = now - self.sampled_ms
+            raised = self.floor_ms * (1 + idle_ms / _FLOOR_DOUBLING_MS)
+            self.floor_ms = min(self.mean_ms, raised)
+        self.sampled_ms = now
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Estimate:
+    """What is expected of a call: its class, service time and kind."""
+
+    time_class: TimeClass
+    service_ms: float
+    is_long: bool
+
+
+class ServiceTimes:
+    """Short and long-run service times of each class of calls."""
+
+    __slots__ = ('_clock', '_means', '_median_ms', '_refreshed_ms', '_times')
+
+    def __init__(self, *, clock: Clock) -> None:
+        """Start without any measurement."""
+        self._clock = clock
+        self._times: dict[TimeClass, _ClassTimes] = {}
+        self._median_ms = float(0)
+        self._refreshed_ms = clock.now()
+        self._means: dict[bool, float] = {}
+
+    def estimate(self, call: Call) -> Estimate:
+        """Return the class of a call and its likely service time.
+
+        A class that was never measured counts as long once others were:
+        otherwise the first burst of a slow route could fill all slots before
+        any of its calls has ended.
+        """
+        time_class = (call.route.name, _size_class(len(call.body)))
+        times = self._times.get(time_class)
+        if times is None:
+            return Estimate(
+                time_class=time_class,
+                service_ms=0,
+                is_long=bool(self._times),
+            )
+        return Estimate(
+            time_class=time_class,
+            service_ms=self._likely(times),
+            is_long=self._is_long(times),
+        )
+
+    def mean_ms(self, *, is_long: bool) -> float:
+        """Return the mean service time of short or of long calls, or 0."""
+        return self._means.get(is_long, float(0))
+
+    def record(self, time_class: TimeClass, elapsed_ms: float) -> float:
+        """Record an answered call; return its ratio to the long-run minimum.
+
+        The ratio is at least about 1 and comparable between classes.
+        """
+        now = self._clock.now()
+        times = self._times.get(time_class)
+        if times is None:
+            times = _ClassTimes(mean_ms=elapsed_ms, sampled_ms=now)
+            self._times[time_class] = times
+        times.add(elapsed_ms, now)
+        if now - self._refreshed_ms >= _MEDIAN_REFRESH_MS:
+            self._refresh(now)
+        self._record_mean(elapsed_ms, is_long=self._is_long(times))
+        if times.floor_ms <= 0:
+            return 1
+        return elapsed_ms / times.floor_ms
+
+    def record_unfinished(
+        self, time_class: TimeClass, elapsed_ms: float
+    ) -> None:
+        """Record a call that ended without answer after ``elapsed_ms``.
+
+        It would have taken at least that long. A quick failure says nothing
+        about service time and is ignored.
+        """
+        times = self._times.get(time_class)
+        if times is None or elapsed_ms > times.mean_ms:
+            self.record(time_class, elapsed_ms)
+
+    def _likely(self, times: _ClassTimes) -> float:
+        # An estimate nobody renews falls by half each second: a class refused
+        # for its slowness is tried again once the target may have recovered.
+        idle_ms = self._clock.now() - times.sampled_ms - MS_PER_SECOND
+        if idle_ms <= 0:
+            return times.mean_ms
+        return times.mean_ms / 2 ** (idle_ms / MS_PER_SECOND)
+
+    def _is_long(self, times: _ClassTimes) -> bool:
+        return 0 < self._median_ms * _LONG_FACTOR < times.mean_ms
+
+    def _record_mean(self, elapsed_ms: float, *, is_long: bool) -> None:
+        mean_ms = self._means.setdefault(is_long, elapsed_ms)
+        gain = _SAMPLE_WEIGHT * (elapsed_ms - mean_ms)
+        self._means[is_long] = mean_ms + gain
+
+    def _refresh(self, now: float) -> None:
+        self._refreshed_ms = now
+        ordered = sorted(self._times.values(), key=lambda times: times.mean_ms)
+        half = sum(times.weight for times in ordered) / 2
+        seen = float(0)
+        for times in ordered:
+            seen += times.weight
+            if seen >= half:
+                self._median_ms = times.mean_ms
+                break
+        for fading in ordered:
+            fading.weight *= _COUNT_DECAY
+
+
+def _size_class(body_bytes: int) -> int:
+    bits = (body_bytes >> _SMALL_BODY_SHIFT).bit_length()
+    return -(-bits // _BITS_PER_CLASS)
--- /dev/null
+++ b/src/savorystand/admission/shedding.py
@@ -0,0 +1,96 @@
+"""The lowest importance that is admitted at present."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import final
+
+from savorystand.call import Importance
+
+if TYPE_CHECKING:
+    from savorystand.clock import Clock
+
+if TYPE_CHECKING:
+    from savorystand.admission.waiting import Waiter
+
+_WINDOW_MS = 200
+# DAGOR's threshold for mean queueing delay. The level falls at a quarter of
+# it, after two calm windows, so that it does not swing at the threshold.
+_HIGH_MS = 20
+_LOW_MS = 5
+_CALM_WINDOWS = 2
+
+
+@final
+class AdmittedRank:
+    """Moves the admitted importance by the queueing delay above it.
+
+    After DAGOR (Zhou et al., "Overload Control for Scaling WeChat
+    Microservices", 2018). The queue serves by importance, so the delay of an
+    unimportant call alone is no sign: the level rises past a class only when
+    more important calls queue too, as that class then gets no slot anyway.
+    """
+
+    __slots__ = ('_calm', '_clock', '_counts', '_delays', '_rank', '_window_ms')
+
+    def __init__(self, *, clock: Clock) -> None:
+        """Start by admitting all."""
+        self._clock = clock
+        self._rank = 0
+        self._calm = 0
+        self._window_ms = clock.now()
+        self._delays = _zeros()
+        self._counts = _zeros()
+
+    def current(self) -> int:
+        """Return the lowest rank admitted; never above ``critical``."""
+        now = self._clock.now()
+        windows = int((now - self._window_ms) // _WINDOW_MS)
+        if windows:
+            self._window_ms = now
+            self._move(self._mean_delay(self._rank + 1), self._mean_delay(0))
+            # Windows without any call are calm.
+            self._settle(min(windows - 1, len(Importance) * _CALM_WINDOWS))
+        return self._rank
+
+    def record(self, rank: int, delay_ms: float) -> None:
+        """Record how long a call queued, whether then served or dropped."""
+        self.current()
+        self._delays[rank] += delay_ms
+        self._counts[rank] += 1
+
+    def record_wait(self, waiter: Waiter, now: float) -> None:
+        """Record the queueing of a call that is decided now.
+
+        Long calls wait for their part of the slots, which tells nothing of
+        the queue that the others see.
+        """
+        if not waiter.estimate.is_long:
+            rank = waiter.call.context.importance
+            self.record(rank, now - waiter.arrived_ms)
+
+    def _mean_delay(self, lowest: int) -> float:
+        count = sum(self._counts[lowest:])
+        return sum(self._delays[lowest:]) / count if count else 0
+
+    def _move(self, above_ms: float, all_ms: float) -> None:
+        ranks = len(Importance)
+        self._delays = _zeros()
+        self._counts = _zeros()
+        if above_ms > _HIGH_MS:
+            self._rank = min(self._rank + 1, ranks - 1)
+            self._calm = 0
+        elif all_ms < _LOW_MS:
+            self._settle(1)
+        else:
+            self._calm = 0
+
+    def _settle(self, windows: int) -> None:
+        self._calm += windows
+        steps = self._calm // _CALM_WINDOWS
+        self._calm -= steps * _CALM_WINDOWS
+        self._rank = max(0, self._rank - steps)
+
+
+def _zeros() -> list[float]:
+    return [float(0) for _ in Importance]
--- /dev/null
+++ b/src/savorystand/admission/slots.py
@@ -0,0 +1,49 @@
+"""Slots of the own target in use."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import final
+
+if TYPE_CHECKING:
+    from savorystand.admission.limit import ConcurrencyLimit
+
+# Part of the limit that long calls may hold together.
+LONG_SHARE = 0.6
+
+
+@final
+class Slots:
+    """Counts running calls against the limit and the part for long ones."""
+
+    __slots__ = ('_in_use', '_limit')
+
+    def __init__(self, *, limit: ConcurrencyLimit) -> None:
+        """Start with all slots free."""
+        self._limit = limit
+        self._in_use = {False: 0, True: 0}
+
+    def in_use(self) -> int:
+        """Return the number of running calls."""
+        return self._in_use[False] + self._in_use[True]
+
+    def usable(self, *, is_long: bool) -> int:
+        """Return how many slots calls of the kind can share, at least 1."""
+        limit = self._limit.current()
+        if is_long:
+            return max(1, int(limit * LONG_SHARE))
+        return max(1, limit - self._in_use[True])
+
+    def has_free(self, *, is_long: bool) -> bool:
+        """Return True if a call of the kind may start."""
+        if self.in_use() >= self._limit.current():
+            return False
+        return not is_long or self._in_use[True] < self.usable(is_long=True)
+
+    def take(self, *, is_long: bool) -> None:
+        """Count a call that starts."""
+        self._in_use[is_long] += 1
+
+    def give_back(self, *, is_long: bool) -> None:
+        """Count a call that ended."""
+        self._in_use[is_long] -= 1
--- a/src/savorystand/dispatch/attempts.py
+++ b/src/savorystand/dispatch/attempts.py
@@ -6,15 +6,15 @@
 from typing import TYPE_CHECKING
 
 from expression import Error
-from expression import Ok
 from expression import Result
 
 from savorystand.clock import Clock
+from savorystand.dispatch.hedge import Hedge
+from savorystand.dispatch.spending import Spending
 from savorystand.retry.policy import RetryPolicy
 from savorystand.routing.router import Choice
 from savorystand.routing.router import Router
 from savorystand.transport.caller import PeerCaller
-from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 
@@ -25,46 +25,8 @@
     from savorystand.verdict import Refusal
 
 
-class _Budget:
-    """What a call may still spend, and what its attempts have left behind."""
-
-    __slots__ = ('_lent', 'may_have_run', 'retries', 'tried')
-
-    def __init__(self, *, retries: int) -> None:
-        self.retries = retries
-        self.may_have_run: MayHaveRun | None = None
-        self.tried: frozenset[str] = frozenset()
-        self._lent = 0
-
-    def lend(self) -> int:
-        """Take what travels with the next attempt: half, rounded up.
-
-        The rest stays here for the case that the attempt is lost together
-        with what was lent.
-        """
-        self._lent = (self.retries + 1) // 2
-        self.retries -= self._lent
-        return self._lent
-
-    def settle(self, returned: int) -> None:
-        """Take back what an attempt has left of the loan."""
-        self.retries += min(self._lent, max(0, returned))
-        self._lent = 0
-
-    def record(self, refusal: Refusal) -> None:
-        """Settle a refused attempt; one that may have run marks the call."""
-        self.settle(refusal.retries_left)
-        if isinstance(refusal, MayHaveRun):
-            self.may_have_run = refusal
-
-    def refuse(self, refusal: Refusal) -> Outcome:
-        """Return the refusal of the call as a whole."""
-        final = self.may_have_run or refusal
-        return Error(replace(final, retries_left=self.retries))
-
-
 class Attempts:
-    """Makes the attempts of one call, one after the other."""
+    """Makes the attempts of one call: in turn, or a hedge beside one."""
 
     __slots__ = ('_clock', '_kernel')
 
@@ -77,38 +39,101 @@
         """Return the answer of a target or the refusal that ends the call."""
         policy = self._kernel.find('retry', RetryPolicy)
         policy.budget(call.route.pool).record_fresh()
-        budget = _Budget(retries=call.context.retries_left)
+        granted = policy.granted(call.context.retries_left)
+        shed = self._kernel.find('routing', Router).shed(call)
+        if shed is not None:
+            return Error(replace(shed, retries_left=granted))
+        spending = Spending(policy=policy, retries=granted)
         while True:
-            outcome = await self._attempt_next(call, budget)
+            outcome = await self._attempt_next(call, spending)
             match outcome:
-                case Result(tag='ok', ok=answer):
-                    budget.settle(answer.retries_left)
-                    return Ok(replace(answer, retries_left=budget.retries))
-                case Result(error=refusal):
-                    budget.record(refusal)
-            if not policy.may_retry(call.route, refusal, budget.retries):
-                return budget.refuse(refusal)
-            budget.retries -= 1
-
-    async def _attempt_next(self, call: Call, budget: _Budget) -> Outcome:
+                case Result(tag='error', error=refusal) if self._goes_on(
+                    call, refusal, spending
+                ):
+                    spending.retries -= 1
+                case _:
+                    return spending.close(outcome)
+
+    def _goes_on(
+        self,
+        call: Call,
+        refusal: Refusal,
+        spending: Spending,
+    ) -> bool:
         router = self._kernel.find('routing', Router)
-        choice = router.pick(call, budget.tried)
+        left_ms = call.context.deadline_ms - self._clock.now()
+        if left_ms <= router.expected_ms(call):
+            return False
+        # Another target of a pool that sheds this importance refuses too.
+        shedding = refusal.reason is Reason.OVERLOADED
+        if shedding and router.shed(call, probe=False) is not None:
+            return False
+        policy = self._kernel.find('retry', RetryPolicy)
+        return policy.may_retry(call.route, refusal, spending.retries)
+
+    async def _attempt_next(self, call: Call, spending: Spending) -> Outcome:
+        choice = self._pick(call, spending)
         if choice is None:
             pool = call.route.pool
             detail = f'no target left in {pool}'
-            return Error(NotRun(reason=Reason.NO_TARGET, detail=detail))
-        budget.tried |= {choice.peer.node_id}
-        context = replace(call.context, retries_left=budget.lend())
-        return await self._attempt(replace(call, context=context), choice)
+            refusal = NotRun(reason=Reason.NO_TARGET, detail=detail)
+            return spending.settle(Error(refusal), 0)
+        lent = spending.lend()
+        delay_ms = self._hedge_delay(call, spending)
+        if delay_ms is None:
+            return await self._attempt(call, choice, spending, lent)
+        return await Hedge(clock=self._clock, delay_ms=delay_ms).run(
+            lambda: self._attempt(call, choice, spending, lent),
+            lambda: self._hedge(call, spending),
+        )
+
+    def _hedge_delay(self, call: Call, spending: Spending) -> float | None:
+        if not call.route.idempotent or spending.retries <= 0:
+            return None
+        router = self._kernel.find('routing', Router)
+        delay_ms = router.hedge_delay_ms(call)
+        if delay_ms is None:
+            return None
+        ends_ms = self._clock.now() + delay_ms + router.expected_ms(call)
+        return delay_ms if ends_ms < call.context.deadline_ms else None
+
+    async def _hedge(self, call: Call, spending: Spending) -> Outcome | None:
+        # Asked again, as the pool may have begun to shed during the delay.
+        if self._hedge_delay(call, spending) is None:
+            return None
+        choice = self._pick(call, spending)
+        if choice is None:
+            return None
+        policy = self._kernel.find('retry', RetryPolicy)
+        if not policy.may_hedge(call.route, spending.retries):
+            return None
+        spending.retries -= 1
+        return await self._attempt(call, choice, spending, spending.lend())
 
-    async def _attempt(self, call: Call, choice: Choice) -> Outcome:
+    def _pick(self, call: Call, spending: Spending) -> Choice | None:
+        router = self._kernel.find('routing', Router)
+        choice = router.pick(call, spending.tried)
+        if choice is not None:
+            spending.tried |= {choice.peer.node_id}
+        return choice
+
+    async def _attempt(
+        self,
+        call: Call,
+        choice: Choice,
+        spending: Spending,
+        lent: int,
+    ) -> Outcome:
         router = self._kernel.find('routing', Router)
         caller = self._kernel.find('peers', PeerCaller)
+        context = replace(call.context, retries_left=lent)
         started = self._clock.now()
         outcome: Outcome | None = None
         router.begin(choice, call)
         try:
-            outcome = await caller.call(choice.peer, call)
+            outcome = await caller.call(
+                choice.peer, replace(call, context=context)
+            )
         finally:
             router.finish(
                 choice,
@@ -116,7 +141,7 @@
                 outcome=outcome,
                 elapsed_ms=self._clock.now() - started,
             )
-        return _without_connection_reason(outcome, call.context.retries_left)
+        return spending.settle(_without_connection_reason(outcome, lent), lent)
 
 
 def _without_connection_reason(outcome: Outcome, lent: int) -> Outcome:
--- /dev/null
+++ b/src/savorystand/dispatch/hedge.py
@@ -0,0 +1,68 @@
+"""A second attempt beside a slow first one."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+from typing import final
+
+import anyio
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from savorystand.call import Outcome
+    from savorystand.clock import Clock
+
+Attempt: TypeAlias = Callable[[], Awaitable['Outcome']]
+SecondAttempt: TypeAlias = Callable[[], Awaitable['Outcome | None']]
+
+
+@final
+class Hedge:
+    """Runs an attempt and, if it is slow, another; one whole answer wins."""
+
+    __slots__ = ('_clock', '_delay_ms', '_hedging', '_outcome')
+
+    def __init__(self, *, clock: Clock, delay_ms: float) -> None:
+        """Start the second attempt after ``delay_ms``."""
+        self._clock = clock
+        self._delay_ms = delay_ms
+        self._hedging = False
+        self._outcome: Outcome | None = None
+
+    async def run(self, first: Attempt, second: SecondAttempt) -> Outcome:
+        """Return the first whole answer, or the last refusal.
+
+        The attempt that is still running when an answer arrives is
+        cancelled. ``second`` returns None if it may not start.
+        """
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._run_second, second, tasks)
+            outcome = await first()
+            if self._outcome is None:
+                self._outcome = outcome
+            # A refusal that comes before the delay is left to the retries.
+            if outcome.is_ok() or not self._hedging:
+                tasks.cancel_scope.cancel()
+        # The group ends without an outcome only if the caller is cancelled,
+        # which raises above.
+        assert self._outcome is not None
+        return self._outcome
+
+    async def _run_second(
+        self,
+        second: SecondAttempt,
+        tasks: TaskGroup,
+    ) -> None:
+        await self._clock.sleep(self._delay_ms)
+        self._hedging = True
+        outcome = await second()
+        self._hedging = False
+        if outcome is None:
+            return
+        if outcome.is_ok():
+            self._outcome = outcome
+            tasks.cancel_scope.cancel()
--- a/src/savorystand/dispatch/inbound.py
+++ b/src/savorystand/dispatch/inbound.py
@@ -16,6 +16,8 @@
 from savorystand.retry.executions import Execution
 from savorystand.retry.executions import ExecutionLedger
 from savorystand.tables.holder import TableHolder
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
 
 if TYPE_CHECKING:
     from savorystand.call import Call
@@ -60,12 +62,14 @@
     async def _run(self, call: Call, permit: Permit) -> Outcome:
         execution = self._executions.open(call.context)
         whole = False
+        refused = False
         try:
             outcome = await self._send(call, execution)
             whole = outcome.is_ok()
+            refused = _is_refused(outcome)
         finally:
             self._executions.close(execution)
-            self._admission.release(permit, whole=whole)
+            self._admission.release(permit, whole=whole, refused=refused)
         return self._settle(outcome, execution)
 
     async def _send(self, call: Call, execution: Execution) -> Outcome:
@@ -86,3 +90,12 @@
                     from_below=below,
                 )
                 return Error(settled)
+
+
+def _is_refused(outcome: Outcome) -> bool:
+    # The target's own refusal, which says that it was given too much.
+    match outcome:
+        case Result(tag='error', error=NotRun(reason=Reason.OVERLOADED)):
+            return True
+        case _:
+            return False
--- /dev/null
+++ b/src/savorystand/dispatch/spending.py
@@ -0,0 +1,74 @@
+"""What one call may still spend on attempts."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import final
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from savorystand.verdict import MayHaveRun
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+from savorystand.verdict import Refusal
+
+if TYPE_CHECKING:
+    from savorystand.call import Outcome
+    from savorystand.retry.policy import RetryPolicy
+
+
+@final
+class Spending:
+    """Retry budget of a call, and what its attempts have left behind."""
+
+    __slots__ = ('_may_have_run', '_not_run', '_policy', 'retries', 'tried')
+
+    def __init__(self, *, policy: RetryPolicy, retries: int) -> None:
+        """Start with ``retries`` and no attempt made."""
+        self._policy = policy
+        self.retries = retries
+        self.tried: frozenset[str] = frozenset()
+        self._may_have_run: MayHaveRun | None = None
+        self._not_run: NotRun | None = None
+
+    def lend(self) -> int:
+        """Take what travels with the next attempt."""
+        lent = self._policy.loan(self.retries)
+        self.retries -= lent
+        return lent
+
+    def settle(self, outcome: Outcome, lent: int) -> Outcome:
+        """Take back what an attempt has left of its loan."""
+        match outcome:
+            case Result(tag='ok', ok=answer):
+                returned = answer.retries_left
+            case Result(error=refusal):
+                returned = refusal.retries_left
+                self._record(refusal)
+        self.retries += min(lent, max(0, returned))
+        return outcome
+
+    def close(self, outcome: Outcome) -> Outcome:
+        """Return the outcome of the call as a whole.
+
+        It is reported as not run only if that holds for all attempts, and
+        with the refusal of a target rather than the lack of another.
+        """
+        match outcome:
+            case Result(tag='ok', ok=answer):
+                return Ok(replace(answer, retries_left=self.retries))
+            case Result(error=refusal):
+                final_refusal = self._may_have_run or self._not_run or refusal
+                return Error(replace(final_refusal, retries_left=self.retries))
+
+    def _record(self, refusal: Refusal) -> None:
+        match refusal:
+            case MayHaveRun():
+                self._may_have_run = refusal
+            case NotRun(reason=Reason.NO_TARGET) if self._not_run is not None:
+                return
+            case NotRun():
+                self._not_run = refusal
--- a/src/savorystand/retry/policy.py
+++ b/src/savorystand/retry/policy.py
@@ -48,6 +48,24 @@
         """Return the retries granted to a request that enters here."""
         return ENTRY_RETRIES
 
+    def granted(self, retries_left: int) -> int:
+        """Return the retries of a call that arrived with ``retries_left``."""
+        return retries_left
+
+    def loan(self, retries: int) -> int:
+        """Return what travels with an attempt: half, rounded up.
+
+        The rest stays here for the case that the attempt is lost together
+        with what was lent.
+        """
+        return (retries + 1) // 2
+
+    def may_hedge(self, route: Route, retries_left: int) -> bool:
+        """Return True, and take a token, if a second attempt may start."""
+        if retries_left <= 0 or not route.idempotent:
+            return False
+        return self.budget(route.pool).spend_hedge()
+
     def may_retry(
         self,
         route: Route,
--- /dev/null
+++ b/src/savorystand/routing/draw.py
@@ -0,0 +1,151 @@
+"""One random choice among the targets of a pool."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import final
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterator
+
+    from savorystand.call import Call
+    from savorystand.routing.pool_view import PoolView
+    from savorystand.routing.pool_view import Target
+
+# One way between regions; an answer takes the same way back.
+REGION_MS = 20
+_DRAWS = 4
+# A target that refuses the importance is used only beside others like it.
+_SHED_COST = 10
+_PROBE_GAP_MS = 200
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Draw:
+    """Draws for one call, nearest targets first."""
+
+    call: Call
+    view: PoolView
+    tried: frozenset[str]
+    now: float
+    rng: random.Random
+
+    def best(self) -> tuple[Target | None, str]:
+        """Return the target to use and why, or None if all were tried.
+
+        A farther group is drawn from only when the best of the nearer ones
+        is busy, slow or failing.
+        """
+        own, region, far = self.view.distances
+        best = self._better_of_two(own, None)
+        if best is not None and self._good(best):
+            return best, 'own failure domain'
+        best = self._better_of_two(region, best)
+        if best is not None and self._serves(best):
+            return best, 'own region'
+        free = self._free_near() if far and self._reaches_far() else []
+        if free:
+            return self._better_of_two(free, None), 'own region'
+        remote = self._better_of_two(far, None) if self._reaches_far() else None
+        if remote is not None and (best is None or self._good(remote)):
+            return remote, 'other region'
+        return best or self._any_left(), 'no better target'
+
+    def probe(self) -> Target | None:
+        """Return the slow or failing target probed longest ago, if any."""
+        poor = [
+            target
+            for group in self.view.distances[:2]
+            for target in group
+            if target.stats.is_poor(self.now) and self._usable(target)
+        ]
+        if not poor:
+            return None
+        oldest = min(poor, key=lambda target: target.stats.probed_ms)
+        if self.now - oldest.stats.probed_ms < _PROBE_GAP_MS:
+            return None
+        oldest.stats.probed_ms = self.now
+        return oldest
+
+    def _better_of_two(
+        self,
+        group: list[Target],
+        best: Target | None,
+    ) -> Target | None:
+        pair = list(self._pair(group))
+        if best is not None:
+            pair.append(best)
+        if not pair:
+            return next(filter(self._usable, group), None)
+        return min(pair, key=self._cost)
+
+    def _pair(self, group: list[Target]) -> Iterator[Target]:
+        first: Target | None = None
+        for _ in range(_DRAWS if group else 0):
+            target = group[int(self.rng.random() * len(group))]
+            if target is first or not self._takes(target):
+                continue
+            yield target
+            if first is not None:
+                return
+            first = target
+
+    def _takes(self, target: Target) -> bool:
+        if not self._usable(target):
+            return False
+        share = target.stats.share(self.now)
+        return share >= 1 or self.rng.random() < share
+
+    def _usable(self, target: Target) -> bool:
+        if target.member.peer.node_id in self.tried:
+            return False
+        return target.stats.avoid_until_ms <= self.now
+
+    def _good(self, target: Target) -> bool:
+        return self._serves(target) and not target.stats.is_poor(self.now)
+
+    def _serves(self, target: Target) -> bool:
+        # Has room and is fast enough for the deadline, even if slow.
+        if target.stats.is_busy(self.call.context.importance, self.now):
+            return False
+        return self._mean_ms() * target.stats.slowness <= self._left_ms()
+
+    def _reaches_far(self) -> bool:
+        return self._left_ms() > 2 * REGION_MS + self._mean_ms()
+
+    def _free_near(self) -> list[Target]:
+        return [
+            target
+            for group in self.view.distances[:2]
+            for target in group
+            if self._usable(target) and self._serves(target)
+        ]
+
+    def _any_left(self) -> Target | None:
+        # A near target to avoid is still better than none.
+        left = [
+            target
+            for group in self.view.distances[:2]
+            for target in group
+            if target.member.peer.node_id not in self.tried
+        ]
+        return min(
+            left,
+            key=lambda target: target.stats.avoid_until_ms,
+            default=None,
+        )
+
+    def _cost(self, target: Target) -> float:
+        cost = target.stats.expected_ms(max(self._mean_ms(), 1), self.now)
+        if target.stats.sheds(self.call.context.importance, self.now):
+            return cost * _SHED_COST
+        return cost
+
+    def _mean_ms(self) -> float:
+        return self.view.route(self.call.route.name).mean_ms
+
+    def _left_ms(self) -> float:
+        return self.call.context.deadline_ms - self.now
--- /dev/null
+++ b/src/savorystand/routing/pool_view.py
@@ -0,0 +1,121 @@
+"""The targets of one pool as a calling node sees them."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+from typing import final
+
+from savorystand.routing.route_times import RouteTimes
+from savorystand.routing.target_stats import REPORT_MS
+from savorystand.routing.target_stats import TargetStats
+
+if TYPE_CHECKING:
+    from savorystand.call import Importance
+    from savorystand.call import TargetLoad
+    from savorystand.membership.member import Member
+    from savorystand.transport.address import PeerAddress
+
+
+@final
+class Target:
+    """A member of the pool and what is known of it."""
+
+    __slots__ = ('member', 'stats')
+
+    def __init__(self, *, member: Member, stats: TargetStats) -> None:
+        """Join a member record and its statistics."""
+        self.member = member
+        self.stats = stats
+
+
+@final
+class PoolView:
+    """Targets by distance, their statistics and the routes' latencies."""
+
+    __slots__ = (
+        '_members',
+        '_shed_ms',
+        '_targets',
+        'distances',
+        'picks',
+        'routes',
+    )
+
+    def __init__(self) -> None:
+        """Start without targets."""
+        self._members: list[Member] = []
+        self._targets: dict[str, Target] = {}
+        self._shed_ms = -math.inf
+        # Own failure domain, own region, other regions.
+        self.distances: tuple[list[Target], ...] = ([], [], [])
+        self.routes: dict[str, RouteTimes] = {}
+        self.picks = 0
+
+    def update(self, members: list[Member], myself: Member, now: float) -> None:
+        """Take the members that serve now; state of the others is dropped.
+
+        The targets of the first list are taken as established: with all of
+        them new, none has to be spared.
+        """
+        if members == self._members:
+            return
+        arrived_ms = now if self._members else -math.inf
+        known = self._targets
+        self._members = list(members)
+        self._targets = {}
+        groups: tuple[list[Target], ...] = ([], [], [])
+        for member in members:
+            target = known.get(member.peer.node_id)
+            stats = (
+                target.stats if target else TargetStats(arrived_ms=arrived_ms)
+            )
+            fresh = Target(member=member, stats=stats)
+            self._targets[member.peer.node_id] = fresh
+            groups[distance(member, myself)].append(fresh)
+        self.distances = groups
+
+    def stats(self, peer: PeerAddress) -> TargetStats | None:
+        """Return the statistics of a peer, unless it is gone."""
+        target = self._targets.get(peer.node_id)
+        return target.stats if target else None
+
+    def route(self, name: str) -> RouteTimes:
+        """Return the latencies of a route."""
+        times = self.routes.get(name)
+        if times is None:
+            times = RouteTimes()
+            self.routes[name] = times
+        return times
+
+    def observe_load(
+        self, peer: PeerAddress, load: TargetLoad, now: float
+    ) -> None:
+        """Take the report of a target of this pool."""
+        stats = self.stats(peer)
+        if stats is None:
+            return
+        stats.load = load
+        stats.reported_ms = now
+        if load.admitted_rank > 0:
+            self._shed_ms = now
+
+    def any_sheds(self, now: float) -> bool:
+        """Return True if some target has reported shedding just now."""
+        return now - self._shed_ms < REPORT_MS
+
+    def all_shed(self, importance: Importance, now: float) -> bool:
+        """Return True if every target sheds the importance just now."""
+        if not self.any_sheds(now):
+            return False
+        return all(
+            target.stats.sheds(importance, now)
+            for target in self._targets.values()
+        )
+
+
+def distance(member: Member, myself: Member) -> int:
+    """Return 0 in the own failure domain, 1 in the own region, else 2."""
+    if member.region != myself.region:
+        return 2
+    return int(member.failure_domain != myself.failure_domain)
--- /dev/null
+++ b/src/savorystand/routing/target_stats.py
@@ -0,0 +1,123 @@
+"""What a calling node knows of one target."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import final
+
+from savorystand.call import TargetLoad
+from savorystand.clock import MS_PER_SECOND
+
+if TYPE_CHECKING:
+    from savorystand.call import Importance
+
+# A report loses its force linearly within this time.
+REPORT_MS = 500
+# A report counts at most half: it is late, and other callers act on it too.
+_REPORT_WEIGHT = 0.5
+# Peak-sensitive (Finagle's peak EWMA): a slower sample counts at once for a
+# good part, a faster one by the time that has passed since the last.
+_PEAK_WEIGHT = 0.5
+_FALL_MS = MS_PER_SECOND
+# Slowness that nobody measures any more fades, so that a target which gets
+# no calls, probes included, returns.
+_FADE_MS = 5000
+_FAILURE_WEIGHT = 0.2
+_FAILURE_COST = 10
+_LEAST_SLOWNESS = 0.1
+_MOST_SLOWNESS = 100
+_SLOW = 2
+_FAILING = 0.2
+# Part of the limit above which calls are likely to queue.
+_BUSY = 0.8
+_AVOID_MS = MS_PER_SECOND
+# Chances to be taken when drawn, in the steps after a target's arrival.
+_ARRIVAL_SHARES = (0.1, 0.25, 0.5, 0.75)
+_ARRIVAL_STEP_MS = MS_PER_SECOND
+
+
+@final
+@dataclass(slots=True, kw_only=True)
+class TargetStats:
+    """In-flight calls, slowness, failures and last report of a target.
+
+    ``slowness`` is latency over the mean of the same route at all targets, so
+    that a target is not judged by which routes it happened to get.
+    """
+
+    arrived_ms: float = -math.inf
+    in_flight: int = 0
+    slowness: float = 1
+    sampled_ms: float = 0
+    failures: float = 0
+    avoid_until_ms: float = -math.inf
+    probed_ms: float = -math.inf
+    load: TargetLoad = field(default_factory=TargetLoad)
+    reported_ms: float = -math.inf
+
+    def record_latency(self, ratio: float, now: float) -> None:
+        """Record an attempt that took ``ratio`` times its route's mean."""
+        ratio = min(max(ratio, _LEAST_SLOWNESS), _MOST_SLOWNESS)
+        weight = _PEAK_WEIGHT
+        if ratio < self.slowness:
+            weight = 1 - math.exp((self.sampled_ms - now) / _FALL_MS)
+            weight = max(weight, _FAILURE_WEIGHT / 2)
+        self.slowness += weight * (ratio - self.slowness)
+        self.sampled_ms = now
+
+    def record_result(self, *, failed: bool, now: float) -> None:
+        """Record whether an attempt was refused or lost."""
+        self.failures += _FAILURE_WEIGHT * (failed - self.failures)
+        if failed:
+            self.sampled_ms = now
+
+    def avoid(self, now: float) -> None:
+        """Give no work for a second: it cannot be reached or is leaving."""
+        self.avoid_until_ms = now + _AVOID_MS
+
+    def share(self, now: float) -> float:
+        """Return the part of its share that a new target gets so far."""
+        step = (now - self.arrived_ms) / _ARRIVAL_STEP_MS
+        if step >= len(_ARRIVAL_SHARES):
+            return 1
+        return _ARRIVAL_SHARES[int(step)]
+
+    def sheds(self, importance: Importance, now: float) -> bool:
+        """Return True if a report in force excludes the importance."""
+        if self.load.admitted_rank <= importance:
+            return False
+        return now - self.reported_ms < REPORT_MS
+
+    def is_poor(self, now: float) -> bool:
+        """Return True if the target is slow or failing at present."""
+        fade = math.exp(min(0, self.sampled_ms - now) / _FADE_MS)
+        slow = 1 + (self.slowness - 1) * fade > _SLOW
+        return slow or self.failures * fade > _FAILING
+
+    def is_busy(self, importance: Importance, now: float) -> bool:
+        """Return True if a new call is likely to queue or be refused."""
+        used = self.in_flight
+        if now - self.reported_ms < REPORT_MS:
+            if self.load.admitted_rank > importance:
+                return True
+            used = max(used, self.load.in_flight + self.load.queued)
+        return self.load.limit > 0 and used >= self.load.limit * _BUSY
+
+    def expected_ms(self, mean_ms: float, now: float) -> float:
+        """Return the expected completion time of one more call.
+
+        ``mean_ms`` is the mean latency of its route. Only useful to compare
+        targets: in-flight calls count as if served one by one.
+        """
+        fade = math.exp(min(0, self.sampled_ms - now) / _FADE_MS)
+        latency_ms = mean_ms * (1 + (self.slowness - 1) * fade)
+        age_ms = now - self.reported_ms
+        if age_ms < REPORT_MS:
+            weight = _REPORT_WEIGHT * (1 - age_ms / REPORT_MS)
+            queued_ms = max(0, self.load.expected_ms - mean_ms)
+            latency_ms += weight * queued_ms
+        cost = latency_ms * (self.in_flight + 1)
+        return cost * (1 + _FAILURE_COST * self.failures * fade)
--- /dev/null
+++ b/tests/admission/test_admission_queue.py
@@ -0,0 +1,272 @@
+"""Failures: leaked slots, wrong order, long work that fills the target."""
+
+from __future__ import annotations
+
+import asyncio
+
+import anyio
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from policy_doubles import make_call
+
+from savorystand.admission.limit import ConcurrencyLimit
+from savorystand.admission.queue import AdmissionQueue
+from savorystand.admission.queue import Permit
+from savorystand.admission.service_times import ServiceTimes
+from savorystand.admission.shedding import AdmittedRank
+from savorystand.admission.slots import LONG_SHARE
+from savorystand.call import Importance
+from savorystand.clock import ManualClock
+from savorystand.verdict import Reason
+
+_LONG_BODY = bytes(70000)
+_LOOP_TURNS = 4
+
+
+class _Tracked:
+    """One call as the oracle sees it."""
+
+    def __init__(self, *, rank: int, is_long: bool) -> None:
+        self.rank = rank
+        self.is_long = is_long
+        self.task: asyncio.Task[object] | None = None
+        self.permit: Permit | None = None
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Random arrivals, ends, cancellations and slots against an oracle."""
+
+    def __init__(self) -> None:
+        """Start with a target of four slots."""
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.clock = ManualClock()
+        self.queue = AdmissionQueue(clock=self.clock)
+        # Fed with the same samples, so that it classifies as the queue does.
+        self.times = ServiceTimes(clock=self.clock)
+        self.waiting: list[_Tracked] = []
+        self.running: list[_Tracked] = []
+
+    @initialize(slots=st.integers(1, 6))
+    def warm_up(self, slots: int) -> None:
+        """Let the queue learn a short route and a long one."""
+        self.queue.set_slots(slots)
+        for _ in range(10):
+            for body, elapsed in ((b'', 10), (b'', 10), (_LONG_BODY, 1000)):
+                self.arrive(rank=2, body=body, left_ms=60000, cancel=False)
+                self.clock.advance(elapsed)
+                if self.running:
+                    self.end(pick=0, whole=True, cancel_pick=None)
+
+    def teardown(self) -> None:
+        """Cancel and end all calls: no slot and no waiter may be left."""
+        while self.waiting:
+            self.cancel(0)
+        while self.running:
+            self.end(pick=0, whole=True, cancel_pick=None)
+        assert self.queue.in_progress() == 0
+        self.loop.close()
+
+    @rule(
+        rank=st.integers(0, 3),
+        body=st.sampled_from((b'', _LONG_BODY)),
+        left_ms=st.sampled_from((0, 900, 5000, 60000)),
+        cancel=st.booleans(),
+    )
+    def arrive(
+        self, rank: int, body: bytes, left_ms: int, cancel: bool
+    ) -> None:
+        """Admit a call; maybe cancel it before its first step."""
+        route = 'upload' if body else 'lookup'
+        call = make_call(
+            route=route,
+            body=body,
+            importance=Importance(rank),
+            deadline_ms=self.clock.now() + left_ms,
+        )
+        is_long = self.times.estimate(call).is_long
+        tracked = _Tracked(rank=rank, is_long=is_long)
+        tracked.task = self.loop.create_task(self.queue.admit(call))
+        if cancel:
+            tracked.task.cancel()
+        self.settle(arrived=tracked)
+
+    @rule(
+        pick=st.integers(0, 9),
+        whole=st.booleans(),
+        cancel_pick=st.none() | st.integers(0, 9),
+    )
+    def end(self, pick: int, whole: bool, cancel_pick: int | None) -> None:
+        """End a call; maybe cancel a waiting one that may have got its slot."""
+        if not self.running:
+            return
+        tracked = self.running.pop(pick % len(self.running))
+        assert tracked.permit is not None
+        elapsed = self.clock.now() - tracked.permit.admitted_ms
+        time_class = tracked.permit.estimate.time_class
+        if whole:
+            self.times.record(time_class, elapsed)
+        else:
+            self.times.record_unfinished(time_class, elapsed)
+        self.queue.release(tracked.permit, whole=whole)
+        if cancel_pick is not None:
+            self.cancel(cancel_pick)
+        self.settle()
+
+    @rule(pick=st.integers(0, 9))
+    def cancel(self, pick: int) -> None:
+        """Cancel a waiting call."""
+        if self.waiting:
+            task = self.waiting[pick % len(self.waiting)].task
+            assert task is not None
+            task.cancel()
+            self.settle()
+
+    @rule(slots=st.integers(1, 6))
+    def resize(self, slots: int) -> None:
+        """Change the pool's row."""
+        self.queue.set_slots(slots)
+        self.settle()
+
+    @rule(ms=st.sampled_from((1, 20, 300, 2000)))
+    def advance(self, ms: int) -> None:
+        """Let time pass."""
+        self.clock.advance(ms)
+
+    @invariant()
+    def counts_match(self) -> None:
+        """Each slot and each place in the queue belongs to a call."""
+        load = self.queue.load()
+        assert load.in_flight == len(self.running)
+        assert load.queued == len(self.waiting)
+        assert load.queued <= 24
+
+    def settle(self, arrived: _Tracked | None = None) -> None:
+        """Run the event loop and check what was admitted in this step."""
+        for _ in range(_LOOP_TURNS):
+            self.loop.run_until_complete(asyncio.sleep(0))
+        if arrived is not None:
+            self.waiting.append(arrived)
+        fresh = [call for call in self.waiting if self._is_done(call)]
+        self.waiting = [call for call in self.waiting if call not in fresh]
+        admitted = [call for call in fresh if self._take(call)]
+        self.running.extend(admitted)
+        if admitted:
+            self._check(admitted, arrived)
+
+    def _is_done(self, call: _Tracked) -> bool:
+        assert call.task is not None
+        return call.task.done()
+
+    def _take(self, call: _Tracked) -> bool:
+        assert call.task is not None
+        if call.task.cancelled() or call.task.result().is_error():
+            return False
+        call.permit = call.task.result().ok
+        return True
+
+    def _check(
+        self, admitted: list[_Tracked], arrived: _Tracked | None
+    ) -> None:
+        limit = self.queue.load().limit
+        assert len(self.running) <= limit
+        longs = sum(call.is_long for call in self.running)
+        long_limit = max(1, int(limit * LONG_SHARE))
+        if any(call.is_long for call in admitted):
+            assert longs <= long_limit
+        least = min(call.rank for call in admitted)
+        for call in self.waiting:
+            admissible = not call.is_long or longs < long_limit
+            if call is not arrived and admissible:
+                assert call.rank <= least
+
+
+AdmissionMachine.TestCase.settings = settings(
+    max_examples=60,
+    stateful_step_count=40,
+)
+TestAdmission = AdmissionMachine.TestCase
+
+
+@pytest.mark.anyio
+async def test_eviction_takes_newest_of_least_important() -> None:
+    """A full queue must not keep out a refund for the sake of a lookup."""
+    queue = AdmissionQueue(clock=ManualClock())
+    await queue.admit(make_call())
+    ended = []
+
+    async def wait(name: str, importance: Importance) -> None:
+        outcome = await queue.admit(make_call(importance=importance))
+        ended.append((name, outcome.error.reason, outcome.error.retry_after_ms))
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(16):
+            rank = Importance.LOW if number in {3, 7} else Importance.HIGH
+            tasks.start_soon(wait, str(number), rank)
+        await anyio.wait_all_tasks_blocked()
+        tasks.start_soon(wait, 'refund', Importance.CRITICAL)
+        await anyio.wait_all_tasks_blocked()
+        tasks.cancel_scope.cancel()
+    assert ended == [('7', Reason.OVERLOADED, 100)]
+
+
+@pytest.mark.anyio
+async def test_draining_refuses_only_new_calls() -> None:
+    """A leaving target must get no new work although peers still send."""
+    clock = ManualClock()
+    queue = AdmissionQueue(clock=clock)
+    queue.drain_after(3000)
+    clock.advance(2999)
+    assert (await queue.admit(make_call())).is_ok()
+    clock.advance(1)
+    refused = await queue.admit(make_call())
+    assert refused.error.reason is Reason.DRAINING
+    queue.open_to_new_work()
+    assert queue.in_progress() == 1
+
+
+def test_limit_follows_load_but_not_a_slow_disk() -> None:
+    """The limit must fall and rise within a second, and only if it helps."""
+    clock = ManualClock()
+    limit = ConcurrencyLimit(clock=clock)
+    limit.resize(90)
+    assert limit.current() == 22
+    clock.advance(3000)
+    assert limit.current() == 90
+
+    def run(ratio_at: dict[str, float]) -> None:
+        for _ in range(100):
+            clock.advance(10)
+            ratio = ratio_at['fixed'] + ratio_at['each'] * limit.current()
+            limit.record(
+                ratio, started_ms=clock.now(), in_flight=limit.current()
+            )
+
+    run({'fixed': 0, 'each': 0.1})
+    assert limit.current() < 30
+    run({'fixed': 1, 'each': 0})
+    assert limit.current() == 90
+    run({'fixed': 10, 'each': 0})
+    assert limit.current() == 90
+    limit.resize(13)
+    assert limit.current() == 13
+
+
+def test_admitted_rank_rises_and_falls_with_delay() -> None:
+    """Shedding must follow the delay of the calls above, with hysteresis."""
+    clock = ManualClock()
+    rank = AdmittedRank(clock=clock)
+    seen = []
+    for delay in (50, 50, 50, 50, 10, 10, 0, 0, 0, 0):
+        for importance in Importance:
+            rank.record(importance, delay)
+        clock.advance(200)
+        seen.append(rank.current())
+    assert seen == [1, 2, 3, 3, 3, 3, 3, 2, 2, 1]
+    clock.advance(400)
+    assert rank.current() == 0
--- /dev/null
+++ b/tests/policy_doubles.py
@@ -0,0 +1,92 @@
+"""Calls, members and a directory for the tests of decisions."""
+
+from __future__ import annotations
+
+from savorystand.call import Call
+from savorystand.call import CallContext
+from savorystand.call import Importance
+from savorystand.membership.member import Member
+from savorystand.membership.member import MemberState
+from savorystand.tables.route import Route
+from savorystand.transport.address import PeerAddress
+
+
+def make_call(
+    *,
+    route: str = 'lookup',
+    pool: str = 'refill',
+    importance: Importance = Importance.NORMAL,
+    idempotent: bool = True,
+    deadline_ms: float = 10000,
+    retries: int = 2,
+    body: bytes = b'',
+) -> Call:
+    """Return a call with the given decisive fields."""
+    return Call(
+        context=CallContext(
+            request_id='r',
+            execution_id='',
+            deadline_ms=deadline_ms,
+            retries_left=retries,
+            importance=importance,
+        ),
+        route=Route(
+            name=route,
+            method='GET',
+            path='/',
+            pool=pool,
+            importance=importance,
+            idempotent=idempotent,
+        ),
+        method='GET',
+        path='/',
+        headers=(),
+        body=body,
+    )
+
+
+def make_member(
+    node_id: str, *, domain: str = 'd', region: str = 'r'
+) -> Member:
+    """Return a serving member."""
+    return Member(
+        peer=PeerAddress(node_id=node_id, host='127.0.0.1', port=1),
+        started_ms=0,
+        version=1,
+        state=MemberState.SERVING,
+        failure_domain=domain,
+        region=region,
+        pool='refill',
+    )
+
+
+class FakeDirectory:
+    """A directory whose members the test sets."""
+
+    def __init__(self, members: list[Member], *, domain: str = 'own') -> None:
+        """Serve ``members`` for each pool; live in region ``r``."""
+        self.listed = members
+        self._myself = make_member('me', domain=domain)
+
+    def myself(self) -> Member:
+        """Return the record of the calling node."""
+        return self._myself
+
+    def serving(self, pool: str) -> list[Member]:
+        """Return all members."""
+        return list(self.listed)
+
+    def lookup(self, node_id: str) -> Member | None:
+        """Return the member of that id."""
+        by_id = {member.peer.node_id: member for member in self.listed}
+        return by_id.get(node_id)
+
+    def members(self) -> list[Member]:
+        """Return all members."""
+        return list(self.listed)
+
+    def announce(self, pool: str) -> None:
+        """Ignore the announcement."""
+
+    def leave(self) -> None:
+        """Ignore the leave."""
