Add counters, burn report, explanations and logs

Operators could not see what a node did with its calls. Nodes now count calls and attempts for each route in 10 s windows of the last hour, keep recent decisions by request id, send deltas to statsd and log one line of key=value pairs for each event, all in bounded memory. The commands report, status and explain read this from several nodes; nodes that did not answer are named as missing.

--- /dev/null
+++ b/src/savorystand/console/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/savorystand/console/client.py
@@ -0,0 +1,113 @@
+"""Asks nodes for their status, counters and decisions."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+from typing import final
+from urllib.parse import quote
+
+import anyio
+import httpcore
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+STATUS_PATH = '/savorystand/status'
+REPORT_PATH = '/savorystand/report'
+_EXPLAIN_PATH = '/savorystand/explain?request='
+_OK = 200
+_TIMEOUT_SECONDS = 5
+_ERRORS = (
+    OSError,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+_TIMEOUTS = ('connect', 'read', 'write', 'pool')
+# Requests in progress at a time, below the usual limit of open files.
+_MAX_PARALLEL = 64
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Replied:
+    """The JSON document that a node answered with."""
+
+    address: str
+    document: object
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Failed:
+    """No document came from a node; ``status`` is 0 without an answer."""
+
+    address: str
+    why: str
+    status: int = 0
+
+
+NodeReply: TypeAlias = Replied | Failed
+
+
+def explain_path(request_id: str) -> str:
+    """Return the path that explains a request."""
+    return _EXPLAIN_PATH + quote(request_id, safe='')
+
+
+def ask_all(
+    addresses: Sequence[str],
+    path: str,
+    admin_key: str,
+) -> list[NodeReply]:
+    """Return the replies of nodes at ``IP:PORT``, in the same order."""
+    return anyio.run(_ask_all, addresses, path, admin_key)
+
+
+async def _ask_all(
+    addresses: Sequence[str],
+    path: str,
+    admin_key: str,
+) -> list[NodeReply]:
+    replies: dict[str, NodeReply] = {}
+    limiter = anyio.CapacityLimiter(_MAX_PARALLEL)
+
+    async def ask_one(address: str) -> None:  # noqa: WPS430 (task body)
+        async with limiter:
+            replies[address] = await _ask(address, path, admin_key)
+
+    async with anyio.create_task_group() as tasks:
+        for address in set(addresses):
+            tasks.start_soon(ask_one, address)
+    return list(map(replies.__getitem__, dict.fromkeys(addresses)))
+
+
+async def _ask(address: str, path: str, admin_key: str) -> NodeReply:
+    try:
+        async with httpcore.AsyncConnectionPool() as pool:
+            response = await pool.request(
+                'GET',
+                f'http://{address}{path}',
+                headers={'authorization': f'Bearer {admin_key}'},
+                extensions={
+                    'timeout': dict.fromkeys(_TIMEOUTS, _TIMEOUT_SECONDS),
+                },
+            )
+    except _ERRORS as exc:
+        why = f'{type(exc).__name__} {exc}'.strip()
+        return Failed(address=address, why=why)
+    return _reply(address, response)
+
+
+def _reply(address: str, response: httpcore.Response) -> NodeReply:
+    if response.status != _OK:
+        why = f'answered with status {response.status}'
+        return Failed(address=address, why=why, status=response.status)
+    try:
+        document = json.loads(response.content)
+    except ValueError:
+        return Failed(address=address, why='answered without JSON')
+    return Replied(address=address, document=document)
--- /dev/null
+++ b/src/savorystand/console/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One file for each command."""
--- /dev/null
+++ b/src/savorystand/console/options.py
@@ -0,0 +1,71 @@
+"""Options and exit codes that several commands share."""
+
+from __future__ import annotations
+
+import ipaddress
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import click
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+EXIT_MISSING = 1
+EXIT_UNREACHABLE = 3
+
+
+class NodeAddress(click.ParamType[str]):
+    """``IP:PORT`` of a node's listener for callers."""
+
+    name = 'IP:PORT'
+
+    def convert(
+        self,
+        value: str,  # noqa: WPS110 (named by click)
+        param: click.Parameter | None,  # noqa: WPS110 (named by click)
+        ctx: click.Context | None,
+    ) -> str:
+        """Return the address, or fail with what is wrong with it."""
+        host, _, port = value.rpartition(':')
+        try:
+            ipaddress.IPv4Address(host)
+        except ValueError:
+            self.fail(f'{value!r} does not begin with an IP number', param, ctx)
+        if not port.isdecimal():
+            self.fail(f'{value!r} does not end with a port', param, ctx)
+        return value
+
+
+def node_options(
+    command: Callable[..., None],
+) -> Callable[..., None]:
+    """Add ``--node``, ``--key-file`` and ``--json`` to a command."""
+    options = (
+        click.option(
+            '--node',
+            'nodes',
+            type=NodeAddress(),
+            multiple=True,
+            required=True,
+            help='Listener for callers of a node; repeat for more nodes.',
+        ),
+        click.option(
+            '--key-file',
+            type=click.Path(exists=True, dir_okay=False, path_type=Path),
+            required=True,
+            help='File with the administration key.',
+        ),
+        click.option('--json', 'as_json', is_flag=True, help='Print JSON.'),
+    )
+    for option in reversed(options):
+        command = option(command)
+    return command
+
+
+def read_key(path: Path) -> str:
+    """Return the key in a file, without the line break at its end."""
+    try:
+        return path.read_text().strip()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise click.FileError(str(path), hint=str(exc)) from exc
--- a/src/savorystand/deduplication/runner.py
+++ b/src/savorystand/deduplication/runner.py
@@ -91,6 +91,14 @@
         while self._ledger.running():
             await self._clock.sleep(_DRAIN_POLL_MS)
 
+    def remembered(self) -> int:
+        """Return the number of keys that this node remembers."""
+        return len(self._ledger)
+
+    def running(self) -> int:
+        """Return the number of requests that run at the moment."""
+        return self._ledger.running()
+
     async def call(self, call: Call) -> Outcome:
         """Serve a request that entered at this node with a key."""
         issued = parse_issued(call.key)
--- a/src/savorystand/dispatch/attempts.py
+++ b/src/savorystand/dispatch/attempts.py
@@ -10,6 +10,8 @@
 from expression import Result
 
 from savorystand.clock import Clock
+from savorystand.reporting.observer import AttemptKind
+from savorystand.reporting.observer import find_observer
 from savorystand.retry.policy import RetryPolicy
 from savorystand.routing.router import Choice
 from savorystand.routing.router import Router
@@ -66,12 +68,13 @@
 class Attempts:
     """Makes the attempts of one call, one after the other."""
 
-    __slots__ = ('_clock', '_kernel')
+    __slots__ = ('_clock', '_kernel', '_observer')
 
     def __init__(self, *, kernel: Kernel) -> None:
         """Find router, retry policy and transport in ``kernel``."""
         self._kernel = kernel
         self._clock = kernel.find('clock', Clock)
+        self._observer = find_observer(kernel)
 
     async def run(self, call: Call) -> Outcome:
         """Return the answer of a target or the refusal that ends the call."""
@@ -97,11 +100,14 @@
             pool = call.route.pool
             detail = f'no target left in {pool}'
             return Error(NotRun(reason=Reason.NO_TARGET, detail=detail))
+        kind = AttemptKind.RETRY if budget.tried else AttemptKind.FRESH
         budget.tried |= {choice.peer.node_id}
         context = replace(call.context, retries_left=budget.lend())
-        return await self._attempt(replace(call, context=context), choice)
+        return await self._attempt(replace(call, context=context), choice, kind)
 
-    async def _attempt(self, call: Call, choice: Choice) -> Outcome:
+    async def _attempt(
+        self, call: Call, choice: Choice, kind: AttemptKind
+    ) -> Outcome:
         router = self._kernel.find('routing', Router)
         caller = self._kernel.find('peers', PeerCaller)
         started = self._clock.now()
@@ -110,14 +116,22 @@
         try:
             outcome = await caller.call(choice.peer, call)
         finally:
-            router.finish(
-                choice,
-                call,
-                outcome=outcome,
-                elapsed_ms=self._clock.now() - started,
-            )
+            self._finish(choice, call, outcome, started, kind)
         return _without_connection_reason(outcome, call.context.retries_left)
 
+    def _finish(
+        self,
+        choice: Choice,
+        call: Call,
+        outcome: Outcome | None,
+        started: float,
+        kind: AttemptKind,
+    ) -> None:
+        took_ms = self._clock.now() - started
+        router = self._kernel.find('routing', Router)
+        router.finish(choice, call, outcome=outcome, elapsed_ms=took_ms)
+        self._observer.on_attempt(call, choice, outcome, took_ms, kind)
+
 
 def _without_connection_reason(outcome: Outcome, lent: int) -> Outcome:
     # The reason is reserved to this node's own transport: the forwarding of
--- a/src/savorystand/dispatch/dispatcher.py
+++ b/src/savorystand/dispatch/dispatcher.py
@@ -8,6 +8,7 @@
 
 from savorystand.clock import Clock
 from savorystand.deduplication.runner import KeyedRunner
+from savorystand.reporting.observer import find_observer
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 
@@ -21,16 +22,27 @@
 class Dispatcher:
     """Entry of calls into the system."""
 
-    __slots__ = ('_attempts', '_clock', '_kernel')
+    __slots__ = ('_attempts', '_clock', '_kernel', '_observer')
 
     def __init__(self, *, kernel: Kernel, attempts: Attempts) -> None:
         """Run idempotent calls with ``attempts`` directly."""
         self._kernel = kernel
         self._clock = kernel.find('clock', Clock)
         self._attempts = attempts
+        self._observer = find_observer(kernel)
 
     async def call(self, call: Call) -> Outcome:
         """Serve one call whose route is known."""
+        started = self._clock.now()
+        outcome: Outcome | None = None
+        try:
+            outcome = await self._serve(call)
+        finally:
+            elapsed_ms = self._clock.now() - started
+            self._observer.on_call(call, outcome, elapsed_ms)
+        return outcome
+
+    async def _serve(self, call: Call) -> Outcome:
         if call.context.deadline_ms <= self._clock.now():
             return Error(NotRun(reason=Reason.DEADLINE))
         if call.route.idempotent:
--- a/src/savorystand/dispatch/inbound.py
+++ b/src/savorystand/dispatch/inbound.py
@@ -11,8 +11,10 @@
 
 from savorystand.admission.queue import AdmissionQueue
 from savorystand.admission.queue import Permit
+from savorystand.clock import Clock
 from savorystand.deduplication.runner import KeyedRunner
 from savorystand.gateway.target import TargetSender
+from savorystand.reporting.observer import find_observer
 from savorystand.retry.executions import Execution
 from savorystand.retry.executions import ExecutionLedger
 from savorystand.tables.holder import TableHolder
@@ -28,13 +30,15 @@
 class Inbound:
     """Admits a call, runs it at the target and accounts for its budget."""
 
-    __slots__ = ('_admission', '_executions', '_kernel')
+    __slots__ = ('_admission', '_clock', '_executions', '_kernel', '_observer')
 
     def __init__(self, *, kernel: Kernel) -> None:
         """Find admission, executions and target in ``kernel``."""
         self._kernel = kernel
         self._admission = kernel.find('admission', AdmissionQueue)
         self._executions = kernel.find('executions', ExecutionLedger)
+        self._clock = kernel.find('clock', Clock)
+        self._observer = find_observer(kernel)
 
     def route(self, name: str) -> Route | None:
         """Return the route of that name in the tables in force."""
@@ -49,10 +53,15 @@
         if call.to_home:
             keys = self._kernel.find('keys', KeyedRunner)
             return await keys.serve_home(call)
-        match await self._admission.admit(call):
+        arrived = self._clock.now()
+        admitted = await self._admission.admit(call)
+        waited_ms = self._clock.now() - arrived
+        match admitted:
             case Result(tag='ok', ok=permit):
+                self._observer.on_admission(call, None, waited_ms)
                 return await self._run(call, permit)
             case Result(error=refusal):
+                self._observer.on_admission(call, refusal, waited_ms)
                 # Nothing ran, so nothing of the lent budget was spent.
                 left = call.context.retries_left
                 return Error(replace(refusal, retries_left=left))
--- a/src/savorystand/node/builder.py
+++ b/src/savorystand/node/builder.py
@@ -22,6 +22,8 @@
 from savorystand.gateway.server import HttpListener
 from savorystand.gateway.target_client import TargetClient
 from savorystand.kernel.kernel import Kernel
+from savorystand.reporting.setup import install_endpoints
+from savorystand.reporting.setup import register_reporting
 from savorystand.retry.executions import ExecutionLedger
 from savorystand.retry.policy import RetryPolicy
 from savorystand.routing.router import Router
@@ -66,6 +68,7 @@
     kernel.register('tables', TableHolder())
     kernel.register('membership', directory)
     kernel.register('control', control)
+    register_reporting(kernel, cfg, node_id)
     _register_policy(kernel)
     _register_path(kernel, cfg, node_id)
     _register_listeners(kernel, cfg)
@@ -110,6 +113,7 @@
 def _register_listeners(kernel: Kernel, cfg: NodeSettings) -> None:
     admin = AdminEndpoints(kernel=kernel, admin_key=cfg.admin_key)
     kernel.register('admin', admin)
+    install_endpoints(kernel)
     local = HttpListener(
         app=HttpApplication(kernel=kernel, origin=FromTarget()),
         host=cfg.local.host,
--- /dev/null
+++ b/src/savorystand/reporting/__init__.py
@@ -0,0 +1,1 @@
+"""What operators see: counters, decisions, reports, logs, metrics."""
--- /dev/null
+++ b/src/savorystand/reporting/columns.py
@@ -0,0 +1,102 @@
+"""What is counted of each call, as columns of the counters."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+from typing import final
+
+from expression import Result
+
+from savorystand.verdict import MayHaveRun
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+
+if TYPE_CHECKING:
+    from savorystand.call import Outcome
+    from savorystand.verdict import Refusal
+
+
+@final
+class Column(IntEnum):
+    """Columns; each fresh call counts in ``FRESH`` and in one part.
+
+    ``ANSWERED`` is a whole answer within the deadline. ``CALLER_ERROR`` is a
+    refusal that no capacity could have avoided, such as a missing key.
+    ``CANCELLED`` is a call whose caller went away before its end.
+    """
+
+    ANSWERED = 0
+    LATE = 1
+    NOT_RUN_SHED = 2
+    NOT_RUN_DEADLINE = 3
+    NOT_RUN_TARGET_FAILURE = 4
+    NOT_RUN_OTHER = 5
+    MAY_HAVE_RUN_DEADLINE = 6
+    MAY_HAVE_RUN_TARGET_FAILURE = 7
+    MAY_HAVE_RUN_OTHER = 8
+    CALLER_ERROR = 9
+    CANCELLED = 10
+    FRESH = 11
+    ATTEMPTS = 12
+    RETRIES = 13
+    HEDGES = 14
+
+    @property
+    def label(self) -> str:
+        """Return the name used in JSON and metrics."""
+        return self.name.lower().replace('_', '-')
+
+
+PARTS = tuple(column for column in Column if column < Column.FRESH)
+
+_Cause: TypeAlias = tuple[str, tuple[Column, ...]]
+
+# Causes of a spent error budget and the columns that make up each of them.
+CAUSES: tuple[_Cause, ...] = (
+    ('shed', (Column.NOT_RUN_SHED,)),
+    ('deadline', (Column.NOT_RUN_DEADLINE, Column.MAY_HAVE_RUN_DEADLINE)),
+    (
+        'target-failure',
+        (Column.NOT_RUN_TARGET_FAILURE, Column.MAY_HAVE_RUN_TARGET_FAILURE),
+    ),
+    ('may-have-run', (Column.MAY_HAVE_RUN_OTHER,)),
+    ('late', (Column.LATE,)),
+    ('cancelled', (Column.CANCELLED,)),
+    ('other', (Column.NOT_RUN_OTHER,)),
+)
+
+_NOT_RUN = {  # noqa: WPS407 (a constant table, never changed)
+    Reason.OVERLOADED: Column.NOT_RUN_SHED,
+    Reason.DRAINING: Column.NOT_RUN_SHED,
+    Reason.DEADLINE: Column.NOT_RUN_DEADLINE,
+    Reason.TARGET_FAILED: Column.NOT_RUN_TARGET_FAILURE,
+    Reason.KEY_REQUIRED: Column.CALLER_ERROR,
+    Reason.KEY_REUSED: Column.CALLER_ERROR,
+    Reason.IN_PROGRESS: Column.CALLER_ERROR,
+    Reason.TOO_LARGE: Column.CALLER_ERROR,
+}
+_MAY_HAVE_RUN = {  # noqa: WPS407 (a constant table, never changed)
+    Reason.DEADLINE: Column.MAY_HAVE_RUN_DEADLINE,
+    Reason.TARGET_FAILED: Column.MAY_HAVE_RUN_TARGET_FAILURE,
+}
+
+
+def part_of(outcome: Outcome | None, *, late: bool) -> Column:
+    """Return the part that a call counts in; None means cancelled."""
+    match outcome:
+        case None:
+            return Column.CANCELLED
+        case Result(tag='ok'):
+            return Column.LATE if late else Column.ANSWERED
+        case Result(error=refusal):
+            return _refused(refusal)
+
+
+def _refused(refusal: Refusal) -> Column:
+    match refusal:
+        case NotRun(reason=reason):
+            return _NOT_RUN.get(reason, Column.NOT_RUN_OTHER)
+        case MayHaveRun(reason=reason):
+            return _MAY_HAVE_RUN.get(reason, Column.MAY_HAVE_RUN_OTHER)
--- /dev/null
+++ b/src/savorystand/reporting/reporter.py
@@ -0,0 +1,189 @@
+"""Passes what the call path tells to counters, decisions and log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from expression import Result
+
+from savorystand.membership.directory import Directory
+from savorystand.reporting.counters import Counters
+from savorystand.reporting.explain import Decisions
+from savorystand.reporting.logs import Event
+from savorystand.reporting.logs import EventLog
+from savorystand.reporting.logs import EventName
+from savorystand.reporting.logs import Level
+from savorystand.reporting.observer import AttemptKind
+from savorystand.verdict import Reason
+from savorystand.verdict import verdict_name
+
+if TYPE_CHECKING:
+    from savorystand.call import Call
+    from savorystand.call import Outcome
+    from savorystand.kernel.kernel import Kernel
+    from savorystand.routing.router import Choice
+    from savorystand.tables.tables import Tables
+    from savorystand.verdict import NotRun
+
+_ANSWERED = 'answered'
+_CANCELLED = 'cancelled'
+_UNREACHED = frozenset((Reason.UNAVAILABLE.value, Reason.CONNECTION_LOST.value))
+
+
+class CallReporter:
+    """The observer of a node."""
+
+    __slots__ = ('_counters', '_decisions', '_kernel', '_log')
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        """Find ``counters``, ``decisions`` and ``log`` in ``kernel``."""
+        self._kernel = kernel
+        self._counters = kernel.find('counters', Counters)
+        self._decisions = kernel.find('decisions', Decisions)
+        self._log = kernel.find('log', EventLog)
+
+    def on_call(
+        self,
+        call: Call,
+        outcome: Outcome | None,
+        elapsed_ms: float,
+    ) -> None:
+        """Count a call that has ended and log its refusal."""
+        self._counters.count_call(call, outcome, elapsed_ms)
+        verdict, reason, detail = _described(outcome)
+        request_id = call.context.request_id
+        self._decisions.add(
+            request_id,
+            event='call',
+            route=call.route.name,
+            subject=call.route.pool,
+            verdict=verdict,
+            reason=reason,
+            why=detail,
+            elapsed_ms=elapsed_ms,
+        )
+        if verdict == _ANSWERED:
+            return
+        self._decisions.keep(request_id)
+        if outcome is not None:
+            self._log_refusal(call, verdict, reason, detail)
+
+    def on_attempt(
+        self,
+        call: Call,
+        choice: Choice,
+        outcome: Outcome | None,
+        elapsed_ms: float,
+        kind: AttemptKind,
+    ) -> None:
+        """Count an attempt and remember why its target was chosen."""
+        size = self._cross_region_bytes(call, choice, outcome)
+        self._counters.count_attempt(call, kind, size)
+        verdict, reason, detail = _described(outcome)
+        request_id = call.context.request_id
+        self._decisions.add(
+            request_id,
+            event=f'{kind.value} attempt',
+            route=call.route.name,
+            subject=choice.peer.node_id,
+            verdict=verdict,
+            reason=reason,
+            why=f'{choice.reason}; {detail}' if detail else choice.reason,
+            elapsed_ms=elapsed_ms,
+        )
+        if kind != AttemptKind.FRESH:
+            self._decisions.keep(request_id)
+        if reason in _UNREACHED:
+            self._log_unreachable(choice, verdict, detail)
+
+    def on_admission(
+        self,
+        call: Call,
+        refusal: NotRun | None,
+        waited_ms: float,
+    ) -> None:
+        """Remember how long a call waited for a slot of the own target."""
+        request_id = call.context.request_id
+        self._decisions.add(
+            request_id,
+            event='admission',
+            route=call.route.name,
+            subject='own queue',
+            verdict='admitted' if refusal is None else verdict_name(refusal),
+            reason='' if refusal is None else refusal.reason.value,
+            why='' if refusal is None else refusal.detail,
+            elapsed_ms=waited_ms,
+        )
+        if refusal is not None:
+            self._decisions.keep(request_id)
+
+    def on_tables(self, tables: Tables) -> None:
+        """Log a revision that has come into force."""
+        more = (
+            ('revision', str(tables.revision)),
+            ('change_id', tables.change_id),
+        )
+        self._log.write(Event(name=EventName.TABLES_INSTALLED, more=more))
+
+    def _cross_region_bytes(
+        self,
+        call: Call,
+        choice: Choice,
+        outcome: Outcome | None,
+    ) -> int:
+        directory = self._kernel.find('membership', Directory)
+        member = directory.lookup(choice.peer.node_id)
+        if member is None or member.region == directory.myself().region:
+            return 0
+        match outcome:
+            case Result(tag='ok', ok=answer):
+                return len(call.body) + len(answer.body)
+            case _:
+                return len(call.body)
+
+    def _log_refusal(
+        self,
+        call: Call,
+        verdict: str,
+        reason: str,
+        detail: str,
+    ) -> None:
+        self._log.write(
+            Event(
+                name=EventName.CALL_REFUSED,
+                level=Level.WARNING,
+                request_id=call.context.request_id,
+                pool=call.route.pool,
+                route=call.route.name,
+                verdict=verdict,
+                reason=reason,
+                detail=detail,
+            )
+        )
+
+    def _log_unreachable(
+        self,
+        choice: Choice,
+        verdict: str,
+        detail: str,
+    ) -> None:
+        self._log.write(
+            Event(
+                name=EventName.PEER_UNREACHABLE,
+                level=Level.WARNING,
+                verdict=verdict,
+                detail=detail,
+                more=(('peer', choice.peer.node_id),),
+            )
+        )
+
+
+def _described(outcome: Outcome | None) -> tuple[str, str, str]:
+    match outcome:
+        case None:
+            return _CANCELLED, '', ''
+        case Result(tag='ok', ok=answer):
+            return _ANSWERED, str(answer.status), ''
+        case Result(error=refusal):
+            verdict = verdict_name(refusal)
+            return verdict, refusal.reason.value, refusal.detail
--- /dev/null
+++ b/tests/reporting/test_counters.py
@@ -0,0 +1,107 @@
+"""Failures: calls lost between the parts, stale windows, growing memory."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from savorystand.clock import ManualClock
+from savorystand.reporting.columns import PARTS
+from savorystand.reporting.columns import Column
+from savorystand.reporting.counters import Counters
+from savorystand.reporting.explain import MAX_NOTABLE
+from savorystand.reporting.explain import MAX_ORDINARY
+from savorystand.reporting.explain import MAX_STEPS
+from savorystand.reporting.explain import Decisions
+from savorystand.reporting.histogram import BUCKETS
+from savorystand.reporting.histogram import bucket_of
+from savorystand.reporting.histogram import upper_bound_ms
+from savorystand.reporting.observer import AttemptKind
+from savorystand.reporting.series import WINDOW_MS
+from savorystand.reporting.series import WINDOWS
+from savorystand.reporting.statsd import StatsdSender
+from tests.reporting.builders import ANSWERED
+from tests.reporting.builders import OUTCOMES
+from tests.reporting.builders import call_of
+
+_CALLS = st.lists(
+    st.tuples(
+        st.sampled_from(OUTCOMES),
+        st.booleans(),
+        st.integers(0, 2 * WINDOW_MS * WINDOWS // 3),
+    ),
+    max_size=60,
+)
+
+
+@given(calls=_CALLS, windows=st.integers(1, WINDOWS))
+def test_parts_sum_to_calls_of_period(
+    calls: list[tuple[object, bool, int]], windows: int
+) -> None:
+    """Any outcome at any time counts in one part of its own period only."""
+    clock = ManualClock()
+    counters = Counters(clock=clock)
+    sender = StatsdSender(clock=clock, counters=counters, address=None)
+    sent = 0
+    ended: list[int] = []
+    for outcome, late, pause_ms in calls:
+        clock.advance(pause_ms)
+        deadline_ms = clock.now() - 1 if late else clock.now()
+        call = call_of('lookup', deadline_ms=deadline_ms)
+        counters.count_call(call, outcome, 1)
+        ended.append(counters.window())
+        sent += sender.deltas().get('lookup.fresh', 0)
+    assert sent == len(calls)
+    oldest = counters.window() - windows
+    for _, series in counters.routes():
+        counts = series.sums(counters.window(), windows).counts
+        assert counts[Column.FRESH] == sum(end > oldest for end in ended)
+        assert counts[Column.FRESH] == sum(counts[part] for part in PARTS)
+
+
+def test_memory_is_bounded_for_any_number_of_routes() -> None:
+    """Routes and windows beyond the bounds must not grow the process."""
+    clock = ManualClock()
+    counters = Counters(clock=clock, max_routes=4)
+    for number in range(5 * WINDOWS):
+        clock.advance(WINDOW_MS)
+        counters.count_call(call_of(str(number % 40)), ANSWERED, 1)
+        counters.count_attempt(call_of('any'), AttemptKind.RETRY, 10)
+    # Four routes and the common one of their importance class.
+    assert len(list(counters.routes())) == 5
+    assert counters.windows() <= 5 * WINDOWS
+    assert counters.overflowed > 0
+    clock.advance(WINDOW_MS * WINDOWS)
+    counters.count_call(call_of('late'), ANSWERED, 1)
+    assert 'late' in dict(counters.routes())
+
+
+def test_decisions_are_bounded_and_keep_refused_requests() -> None:
+    """A flood of ordinary requests must not push out what went wrong."""
+    decisions = Decisions(clock=ManualClock())
+    for number in range(3 * MAX_NOTABLE):
+        request_id = f'r{number}'
+        for _ in range(2 + MAX_STEPS if number == 0 else 1):
+            decisions.add(
+                request_id,
+                event='call',
+                route='lookup',
+                subject='refill',
+                verdict='answered',
+            )
+        if number == 0:
+            decisions.keep(request_id)
+    assert len(decisions) == MAX_ORDINARY + 1
+    first = decisions.explain('r0')
+    assert first is not None
+    assert first['steps_dropped'] == 2
+    assert decisions.explain('r1') is None
+
+
+@given(st.floats(0, 130000))
+def test_bucket_holds_latency(elapsed_ms: float) -> None:
+    """A latency in the wrong bucket would shift all quantiles."""
+    bucket = bucket_of(elapsed_ms)
+    assert 0 <= bucket < BUCKETS
+    assert elapsed_ms <= upper_bound_ms(bucket)
+    assert bucket == 0 or elapsed_ms >= upper_bound_ms(bucket - 1) - 1 / 16
