Test endpoints and commands against running nodes

The commands were only tested on documents. Two nodes now run in one process and are asked over HTTP, so that missing nodes and exit codes are covered.

--- /dev/null
+++ b/tests/reporting/nodes.py
@@ -0,0 +1,117 @@
+"""A node with one member and a scripted target, for tests over HTTP."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import anyio
+
+from savorystand.call import Importance
+from savorystand.node.builder import build_node
+from savorystand.settings.node import Address
+from savorystand.settings.node import NodeSettings
+from savorystand.tables.holder import TableHolder
+from savorystand.tables.pool import Pool
+from savorystand.tables.route import Route
+from savorystand.tables.tables import Tables
+from tests.reporting.builders import member_of
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from savorystand.membership.member import Member
+    from savorystand.wire.codec import Message
+
+ADMIN_KEY = 'k1'
+
+
+class FixedDirectory:
+    """A directory with these members, the first being the node itself."""
+
+    def __init__(self, *members: Member) -> None:
+        self._members = members
+
+    def myself(self) -> Member:
+        return self._members[0]
+
+    def serving(self, pool: str) -> list[Member]:
+        return [self._members[0]]
+
+    def lookup(self, node_id: str) -> Member | None:
+        found = (one for one in self._members if one.peer.node_id == node_id)
+        return next(found, None)
+
+    def members(self) -> tuple[Member, ...]:
+        return self._members
+
+    def announce(self, pool: str) -> None:
+        raise NotImplementedError
+
+    def leave(self) -> None:
+        raise NotImplementedError
+
+
+class NoControl:
+    """Answers no control frame."""
+
+    def answer(self, frame: Message) -> Message | None:
+        """Ignore a frame."""
+
+
+def free_address() -> Address:
+    """Return an address that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return Address(host='127.0.0.1', port=sock.getsockname()[1])
+
+
+@asynccontextmanager
+async def running_node(
+    node_id: str, *others: Member, statsd: Address | None = None
+) -> AsyncIterator[str]:
+    """Run a node without a target; yield its address for callers."""
+    cfg = NodeSettings(
+        failure_domain='Lau-1',
+        region='Lau',
+        callers=free_address(),
+        local=free_address(),
+        peers=free_address(),
+        target=free_address(),
+        seeds=(),
+        table_service='',
+        object_store='',
+        platform_key='',
+        admin_key=ADMIN_KEY,
+        statsd=statsd,
+    )
+    kernel = build_node(
+        cfg,
+        node_id=node_id,
+        directory=FixedDirectory(member_of(node_id), *others),
+        control=NoControl(),
+    )
+    route = Route(
+        name='lookup',
+        method='GET',
+        path='/lookup',
+        pool='refill',
+        importance=Importance.HIGH,
+        idempotent=True,
+    )
+    kernel.find('tables', TableHolder).install(
+        Tables(
+            revision=7,
+            change_id='c',
+            routes=(route,),
+            pools=(Pool(name='refill', slots=2, connections=9),),
+        )
+    )
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(kernel.run, stop)
+        yield cfg.callers.text()
+        stop.set()
+        # uvicorn may wait for idle connections of the test's client.
+        tasks.cancel_scope.cancel()
