--- a/src/savorystand/console/client.py
+++ b/src/savorystand/console/client.py
@@ -75,7 +75,7 @@
     replies: dict[str, NodeReply] = {}
     limiter = anyio.CapacityLimiter(_MAX_PARALLEL)
 
-    async def ask_one(address: str) -> None:  # noqa: WPS430 (task body)
+    async def ask_one(address: str) -> None:
         async with limiter:
             replies[address] = await _ask(address, path, admin_key)
 
--- a/src/savorystand/reporting/burn.py
+++ b/src/savorystand/reporting/burn.py
@@ -108,15 +108,17 @@
 
     @property
     def state(self) -> str:
-        """Return ``fast burn``, ``over budget``, ``ok`` or ``idle``."""
-        short = self.short.burn_rate
-        long = self.long.burn_rate
-        if long is None:
+        """Return ``fast burn``, ``over budget``, ``ok`` or ``idle``.
+
+        A fast burn needs both periods, so that it ends soon after its cause;
+        over budget tells of the long period alone.
+        """
+        rate = self.long.burn_rate
+        if rate is None:
             return 'idle'
-        lowest = min(long, short or 0)
-        if lowest >= FAST_BURN:
+        if min(rate, self.short.burn_rate or 0) >= FAST_BURN:
             return 'fast burn'
-        return 'over budget' if lowest > EVEN_BURN else 'ok'
+        return 'over budget' if rate > EVEN_BURN else 'ok'
 
 
 @final
--- a/src/savorystand/reporting/endpoints.py
+++ b/src/savorystand/reporting/endpoints.py
@@ -146,10 +146,7 @@
         'importance': series.importance.name.lower(),
         'short': _sums(series.sums(newest, SHORT_WINDOWS)),
         'long': _sums(series.sums(newest, WINDOWS)),
-        'timeline': [
-            _point(series.sums(newest - age, POINT_WINDOWS))
-            for age in range(0, WINDOWS, POINT_WINDOWS)
-        ],
+        'timeline': series.timeline(newest, POINT_WINDOWS),
     }
 
 
@@ -163,10 +160,3 @@
         'latency': list(sums.latency),
         'cross_region_bytes': sums.cross_region_bytes,
     }
-
-
-def _point(sums: Sums) -> list[int]:
-    # Newest first: requests that count for the objective, and good ones.
-    counts = sums.counts
-    eligible = counts[Column.FRESH] - counts[Column.CALLER_ERROR]
-    return [eligible, counts[Column.ANSWERED]]
--- a/src/savorystand/reporting/explain.py
+++ b/src/savorystand/reporting/explain.py
@@ -13,11 +13,12 @@
 if TYPE_CHECKING:
     from savorystand.clock import Clock
 
+# Together at most 10 MB of the 64 MB that a node may use.
 # Ordinary requests push each other out quickly; refused and retried ones are
 # kept apart, so that they can still be explained minutes later.
 MAX_ORDINARY = 512
-MAX_NOTABLE = 2048
-MAX_STEPS = 32
+MAX_NOTABLE = 1024
+MAX_STEPS = 16
 _MAX_TEXT = 128
 
 Document: TypeAlias = dict[str, object]
--- a/src/savorystand/reporting/plots.py
+++ b/src/savorystand/reporting/plots.py
@@ -121,7 +121,8 @@
     axes.set_xscale('symlog', linthresh=1)
     axes.set_xlim(left=0)
     axes.set_xlabel(f'dotted: {EVEN_BURN}, dashed: fast burn {FAST_BURN}')
-    axes.legend(loc='lower right')
+    axes.xaxis.set_major_formatter('{x:g}')
+    figure.legend(loc='outside right upper')
     return figure
 
 
@@ -137,7 +138,7 @@
         start = [left + count for left, count in zip(start, counts)]
     axes.set_xlabel('requests')
     if any(start):
-        axes.legend(loc='best')
+        figure.legend(loc='outside right upper')
     return figure
 
 
--- a/src/savorystand/reporting/reporter.py
+++ b/src/savorystand/reporting/reporter.py
@@ -8,6 +8,7 @@
 
 from savorystand.membership.directory import Directory
 from savorystand.reporting.counters import Counters
+from savorystand.reporting.events import tables_installed
 from savorystand.reporting.explain import Decisions
 from savorystand.reporting.logs import Event
 from savorystand.reporting.logs import EventLog
@@ -25,6 +26,8 @@
     from savorystand.tables.tables import Tables
     from savorystand.verdict import NotRun
 
+# Callers choose request ids, and targets some details, of up to 16 KB.
+_MAX_TEXT = 256
 _ANSWERED = 'answered'
 _CANCELLED = 'cancelled'
 _UNREACHED = frozenset((Reason.UNAVAILABLE.value, Reason.CONNECTION_LOST.value))
@@ -119,11 +122,7 @@
 
     def on_tables(self, tables: Tables) -> None:
         """Log a revision that has come into force."""
-        more = (
-            ('revision', str(tables.revision)),
-            ('change_id', tables.change_id),
-        )
-        self._log.write(Event(name=EventName.TABLES_INSTALLED, more=more))
+        self._log.write(tables_installed(tables))
 
     def _cross_region_bytes(
         self,
@@ -152,12 +151,12 @@
             Event(
                 name=EventName.CALL_REFUSED,
                 level=Level.WARNING,
-                request_id=call.context.request_id,
+                request_id=call.context.request_id[:_MAX_TEXT],
                 pool=call.route.pool,
                 route=call.route.name,
                 verdict=verdict,
                 reason=reason,
-                detail=detail,
+                detail=detail[:_MAX_TEXT],
             )
         )
 
@@ -172,7 +171,7 @@
                 name=EventName.PEER_UNREACHABLE,
                 level=Level.WARNING,
                 verdict=verdict,
-                detail=detail,
+                detail=detail[:_MAX_TEXT],
                 more=(('peer', choice.peer.node_id),),
             )
         )
--- a/src/savorystand/reporting/statsd.py
+++ b/src/savorystand/reporting/statsd.py
@@ -68,8 +68,8 @@
             f'{_safe(name)}.{metric}': total
             for name, series in self._counters.routes()
             for metric, total in (
-                *((column.label, series.totals[column]) for column in Column),
-                ('cross-region-bytes', series.total_bytes),
+                *((column.label, series.total(column)) for column in Column),
+                ('cross-region-bytes', series.cross_region_bytes),
             )
         }
         grown = {
--- a/src/savorystand/reporting/svg.py
+++ b/src/savorystand/reporting/svg.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from savorystand.reporting.burn import FAST_BURN
+from savorystand.reporting.columns import CAUSES
 from savorystand.reporting.plots import MAX_ROUTES
 from savorystand.reporting.plots import short_name
 
@@ -15,7 +16,7 @@
     from savorystand.reporting.burn import BurnReport
     from savorystand.reporting.burn import RouteBurn
 
-_WIDTH = 800
+_WIDTH = 1020
 _LABEL = 240
 _ROW = 22
 _THICKNESS = 14
@@ -24,6 +25,7 @@
 _BAR_SPACE = 500
 _MINUTE = 8
 _GAP = 4
+_LEGEND_SPACE = 110
 _LINE_HEIGHT = 40
 _LINE_SPACE = 32
 _FAST_COLOUR = '#d1495b'
@@ -46,6 +48,7 @@
     most = max((route.long.bad for route in routes), default=0)
     rates = [_rate(route, highest or 1) for route in routes]
     causes = [_causes(route, most or 1) for route in routes]
+    causes.append(_legend())
     lines = [_line(route) for route in routes]
     return [
         _plot('Burn rate, 1 h', _ROW, rates),
@@ -86,6 +89,16 @@
     return ''.join(bars)
 
 
+def _legend() -> str:
+    parts = []
+    left: float = _LABEL
+    for (cause, _), colour in zip(CAUSES, _COLOURS):
+        parts.append(_rectangle(left, _THICKNESS, colour, cause))
+        parts.append(_text(left + _ROW, _THICKNESS, cause))
+        left += _LEGEND_SPACE
+    return ''.join(parts)
+
+
 def _line(route: RouteBurn) -> str:
     newest = _LABEL + _MINUTE * len(route.timeline)
     points = (
--- a/src/savorystand/reporting/text.py
+++ b/src/savorystand/reporting/text.py
@@ -67,8 +67,8 @@
         _rate(route.short.burn_rate),
         _rate(route.long.burn_rate),
         _percent(route.long.budget_left),
-        f'{route.median_ms:.1f}',
-        f'{route.p99_ms:.1f}',
+        _latency(route.median_ms),
+        _latency(route.p99_ms),
         str(route.retries),
         str(route.hedges),
         f'{megabytes:.1f}',
@@ -83,7 +83,7 @@
 
 def notes(report: BurnReport) -> list[str]:
     """Return what the report does not cover, one sentence each."""
-    lines = [f'{len(report.nodes)} nodes counted.']
+    lines = [f'Nodes counted: {len(report.nodes)}']
     lines.extend(
         printable(f'MISSING {gap.node}: {gap.why}') for gap in report.missing
     )
@@ -161,3 +161,8 @@
 
 def _rate(rate: float | None) -> str:
     return _NOTHING if rate is None else f'{rate:.2f}'
+
+
+def _latency(ms: float) -> str:
+    # Zero is the quantile of no answers at all.
+    return f'{ms:.1f}' if ms else _NOTHING
--- a/tests/reporting/test_counters.py
+++ b/tests/reporting/test_counters.py
@@ -57,6 +57,12 @@
         counts = series.sums(counters.window(), windows).counts
         assert counts[Column.FRESH] == sum(end > oldest for end in ended)
         assert counts[Column.FRESH] == sum(counts[part] for part in PARTS)
+        hour = series.sums(counters.window(), WINDOWS)
+        points = series.timeline(counters.window(), 6)
+        counted = hour.counts[Column.FRESH] - hour.counts[Column.CALLER_ERROR]
+        assert sum(point[0] for point in points) == counted
+        answers = hour.counts[Column.ANSWERED] + hour.counts[Column.LATE]
+        assert sum(hour.latency) == answers
 
 
 def test_memory_is_bounded_for_any_number_of_routes() -> None:
