--- a/src/savorystand/console/application.py
+++ b/src/savorystand/console/application.py
@@ -10,6 +10,9 @@
 from savorystand.console.commands import tables_diff
 from savorystand.console.commands import tables_history
 from savorystand.console.commands import tables_show
+from savorystand.console.commands.explain import explain_command
+from savorystand.console.commands.report import report_command
+from savorystand.console.commands.status import status_command
 
 
 @click.group('savorystand')
@@ -37,6 +40,9 @@
 tables.add_command(tables_history.history)
 tables.add_command(tables_show.show)
 settings.add_command(settings_check.check)
+savorystand.add_command(explain_command)
+savorystand.add_command(report_command)
+savorystand.add_command(status_command)
 
 
 def main() -> None:
--- a/src/savorystand/dispatch/attempts.py
+++ b/src/savorystand/dispatch/attempts.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
+from typing import final
 
 from expression import Error
 from expression import Result
@@ -11,6 +13,8 @@
 from savorystand.clock import Clock
 from savorystand.dispatch.hedge import Hedge
 from savorystand.dispatch.spending import Spending
+from savorystand.reporting.observer import AttemptKind
+from savorystand.reporting.observer import find_observer
 from savorystand.retry.policy import RetryPolicy
 from savorystand.routing.router import Choice
 from savorystand.routing.router import Router
@@ -25,15 +29,24 @@
     from savorystand.verdict import Refusal
 
 
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class _Attempt:
+    choice: Choice
+    lent: int
+    kind: AttemptKind
+
+
 class Attempts:
     """Makes the attempts of one call: in turn, or a hedge beside one."""
 
-    __slots__ = ('_clock', '_kernel')
+    __slots__ = ('_clock', '_kernel', '_observer')
 
     def __init__(self, *, kernel: Kernel) -> None:
         """Find router, retry policy and transport in ``kernel``."""
         self._kernel = kernel
         self._clock = kernel.find('clock', Clock)
+        self._observer = find_observer(kernel)
 
     async def run(self, call: Call) -> Outcome:
         """Return the answer of a target or the refusal that ends the call."""
@@ -78,12 +91,14 @@
             detail = f'no target left in {pool}'
             refusal = NotRun(reason=Reason.NO_TARGET, detail=detail)
             return spending.settle(Error(refusal), 0)
-        lent = spending.lend()
+        first = len(spending.tried) == 1
+        kind = AttemptKind.FRESH if first else AttemptKind.RETRY
+        attempt = _Attempt(choice=choice, lent=spending.lend(), kind=kind)
         delay_ms = self._hedge_delay(call, spending)
         if delay_ms is None:
-            return await self._attempt(call, choice, spending, lent)
+            return await self._attempt(call, attempt, spending)
         return await Hedge(clock=self._clock, delay_ms=delay_ms).run(
-            lambda: self._attempt(call, choice, spending, lent),
+            lambda: self._attempt(call, attempt, spending),
             lambda: self._hedge(call, spending),
         )
 
@@ -108,7 +123,12 @@
         if not policy.may_hedge(call.route, spending.retries):
             return None
         spending.retries -= 1
-        return await self._attempt(call, choice, spending, spending.lend())
+        hedge = _Attempt(
+            choice=choice,
+            lent=spending.lend(),
+            kind=AttemptKind.HEDGE,
+        )
+        return await self._attempt(call, hedge, spending)
 
     def _pick(self, call: Call, spending: Spending) -> Choice | None:
         router = self._kernel.find('routing', Router)
@@ -120,28 +140,37 @@
     async def _attempt(
         self,
         call: Call,
-        choice: Choice,
+        attempt: _Attempt,
         spending: Spending,
-        lent: int,
     ) -> Outcome:
         router = self._kernel.find('routing', Router)
         caller = self._kernel.find('peers', PeerCaller)
-        context = replace(call.context, retries_left=lent)
+        context = replace(call.context, retries_left=attempt.lent)
         started = self._clock.now()
         outcome: Outcome | None = None
-        router.begin(choice, call)
+        router.begin(attempt.choice, call)
         try:
             outcome = await caller.call(
-                choice.peer, replace(call, context=context)
+                attempt.choice.peer,
+                replace(call, context=context),
             )
         finally:
-            router.finish(
-                choice,
-                call,
-                outcome=outcome,
-                elapsed_ms=self._clock.now() - started,
-            )
-        return spending.settle(_without_connection_reason(outcome, lent), lent)
+            self._finish(call, attempt, outcome, started)
+        settled = _without_connection_reason(outcome, attempt.lent)
+        return spending.settle(settled, attempt.lent)
+
+    def _finish(
+        self,
+        call: Call,
+        attempt: _Attempt,
+        outcome: Outcome | None,
+        started: float,
+    ) -> None:
+        took_ms = self._clock.now() - started
+        choice = attempt.choice
+        router = self._kernel.find('routing', Router)
+        router.finish(choice, call, outcome=outcome, elapsed_ms=took_ms)
+        self._observer.on_attempt(call, choice, outcome, took_ms, attempt.kind)
 
 
 def _without_connection_reason(outcome: Outcome, lent: int) -> Outcome:
--- a/src/savorystand/kernel/kernel.py
+++ b/src/savorystand/kernel/kernel.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
+from typing import TypeAlias
 from typing import TypeVar
 from typing import cast
 
@@ -103,3 +105,7 @@
         for name, service in reversed(self._running()):
             await service.drain()
             self._scopes[name].cancel()
+
+
+# Builds a service that finds the ones before it in the kernel.
+Factory: TypeAlias = Callable[[Kernel], object]
--- a/src/savorystand/node/application.py
+++ b/src/savorystand/node/application.py
@@ -12,13 +12,14 @@
 
 from savorystand.node.builder import build_node
 from savorystand.node.builder import new_node_id
+from savorystand.reporting.logs import log_handler
 from savorystand.settings.errors import SettingsError
 from savorystand.settings.loader import load_settings
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from savorystand.node.builder import Factory
+    from savorystand.kernel.kernel import Factory
     from savorystand.settings.node import NodeSettings
 
 EXIT_SETTINGS = 2
@@ -47,6 +48,7 @@
         cfg = load_settings(settings)
     except SettingsError as exc:
         _fail(str(exc), EXIT_SETTINGS)
+    log_handler().push_application()
     try:
         run_node(cfg, replace={})
     except* OSError as group:
--- a/src/savorystand/node/builder.py
+++ b/src/savorystand/node/builder.py
@@ -4,14 +4,10 @@
 
 import random
 import secrets
-from collections.abc import Callable
-from collections.abc import Mapping
 from typing import TYPE_CHECKING
-from typing import TypeAlias
 
 from savorystand.admission.queue import AdmissionQueue
 from savorystand.clock import Clock
-from savorystand.deduplication.claims import NoClaims
 from savorystand.deduplication.ledger import KeyLedger
 from savorystand.deduplication.runner import KeyedRunner
 from savorystand.dispatch.attempts import Attempts
@@ -26,18 +22,24 @@
 from savorystand.gateway.server import HttpListener
 from savorystand.gateway.target_client import TargetClient
 from savorystand.kernel.kernel import Kernel
+from savorystand.membership.membership import Membership
 from savorystand.node.departure import Departure
+from savorystand.node.platform import platform_plan
+from savorystand.reporting.endpoints import ReportEndpoints
+from savorystand.reporting.setup import reporting_plan
 from savorystand.retry.executions import ExecutionLedger
 from savorystand.retry.policy import RetryPolicy
 from savorystand.routing.router import Router
 from savorystand.tables.holder import TableHolder
+from savorystand.transport.inbound import ControlPeer
 from savorystand.transport.network import Network
 from savorystand.transport.peers import PeerTransport
 
 if TYPE_CHECKING:
-    from savorystand.settings.node import NodeSettings
+    from collections.abc import Mapping
 
-Factory: TypeAlias = Callable[[Kernel], object]
+    from savorystand.kernel.kernel import Factory
+    from savorystand.settings.node import NodeSettings
 
 _ID_BYTES = 8
 
@@ -59,7 +61,8 @@
     substitutes services by name; the lab injects faults with it.
     """
     plan = {
-        **replace,
+        **_state_plan(cfg, node_id),
+        **reporting_plan(cfg, node_id),
         **_policy_plan(),
         **_path_plan(cfg, node_id),
         **_listener_plan(cfg),
@@ -70,11 +73,28 @@
     return kernel
 
 
-def _policy_plan() -> dict[str, Factory]:
+def _state_plan(cfg: NodeSettings, node_id: str) -> dict[str, Factory]:
     return {
         'clock': lambda kernel: Clock(),
         'network': lambda kernel: Network(),
         'tables': lambda kernel: TableHolder(),
+        'transport': lambda kernel: PeerTransport(
+            kernel=kernel,
+            host=cfg.peers.host,
+            port=cfg.peers.port,
+        ),
+        'membership': lambda kernel: Membership(
+            kernel=kernel,
+            cfg=cfg,
+            node_id=node_id,
+        ),
+        'control': lambda kernel: kernel.find('membership', ControlPeer),
+        **platform_plan(cfg, node_id),
+    }
+
+
+def _policy_plan() -> dict[str, Factory]:
+    return {
         'executions': lambda kernel: ExecutionLedger(),
         'admission': lambda kernel: AdmissionQueue(
             clock=kernel.find('clock', Clock),
@@ -91,13 +111,7 @@
             host=cfg.target.host,
             port=cfg.target.port,
         ),
-        'transport': lambda kernel: PeerTransport(
-            kernel=kernel,
-            host=cfg.peers.host,
-            port=cfg.peers.port,
-        ),
         'peers': lambda kernel: LocalOrRemote(kernel=kernel, node_id=node_id),
-        'claims': lambda kernel: NoClaims(),
         'attempts': lambda kernel: Attempts(kernel=kernel),
         'keys': lambda kernel: KeyedRunner(
             kernel=kernel,
@@ -117,6 +131,7 @@
             kernel=kernel,
             admin_key=cfg.admin_key,
         ),
+        'endpoints': _endpoints,
         'local listener': lambda kernel: HttpListener(
             app=HttpApplication(kernel=kernel, origin=FromTarget()),
             host=cfg.local.host,
@@ -129,3 +144,9 @@
         ),
         'departure': lambda kernel: Departure(kernel=kernel),
     }
+
+
+def _endpoints(kernel: Kernel) -> ReportEndpoints:
+    endpoints = ReportEndpoints(kernel=kernel)
+    endpoints.install()
+    return endpoints
--- /dev/null
+++ b/src/savorystand/reporting/setup.py
@@ -0,0 +1,48 @@
+"""Registers the reporting services of a node."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorystand.clock import Clock
+from savorystand.reporting.counters import Counters
+from savorystand.reporting.explain import Decisions
+from savorystand.reporting.logs import EventLog
+from savorystand.reporting.reporter import CallReporter
+from savorystand.reporting.statsd import StatsdSender
+from savorystand.tables.holder import TableHolder
+
+if TYPE_CHECKING:
+    from savorystand.kernel.kernel import Factory
+    from savorystand.kernel.kernel import Kernel
+    from savorystand.settings.node import NodeSettings
+
+
+def reporting_plan(cfg: NodeSettings, node_id: str) -> dict[str, Factory]:
+    """Return the factories of counters, decisions, log and observer.
+
+    They come before the call path, which looks for ``observer`` at
+    construction, and after ``clock`` and ``tables``.
+    """
+    return {
+        'counters': lambda kernel: Counters(clock=kernel.find('clock', Clock)),
+        'decisions': lambda kernel: Decisions(
+            clock=kernel.find('clock', Clock),
+        ),
+        'log': lambda kernel: EventLog(
+            clock=kernel.find('clock', Clock),
+            node_id=node_id,
+        ),
+        'metrics': lambda kernel: StatsdSender(
+            clock=kernel.find('clock', Clock),
+            counters=kernel.find('counters', Counters),
+            address=cfg.statsd,
+        ),
+        'observer': _observer,
+    }
+
+
+def _observer(kernel: Kernel) -> CallReporter:
+    observer = CallReporter(kernel=kernel)
+    kernel.find('tables', TableHolder).watch(observer.on_tables)
+    return observer
--- a/src/savorystand/tables/faults.py
+++ b/src/savorystand/tables/faults.py
@@ -28,7 +28,7 @@
         return f'{place.rstrip(":")}: {self.problem}; {self.remedy}'
 
 
-class TablesError(Exception):
+class TablesError(ValueError):
     """Tables are refused for the faults listed."""
 
     def __init__(self, *, faults: tuple[Fault, ...]) -> None:
--- a/tests/admission/test_admission_queue.py
+++ b/tests/admission/test_admission_queue.py
@@ -12,7 +12,6 @@
 from hypothesis.stateful import initialize
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
-from policy_doubles import make_call
 
 from savorystand.admission.limit import ConcurrencyLimit
 from savorystand.admission.queue import AdmissionQueue
@@ -23,6 +22,7 @@
 from savorystand.call import Importance
 from savorystand.clock import ManualClock
 from savorystand.verdict import Reason
+from tests.policy_doubles import make_call
 
 _LONG_BODY = bytes(70000)
 _LOOP_TURNS = 4
