Show what is wrong in broken TOML of tables

The reader replaced every syntax message with a quotation by "broken syntax" to keep keys out of errors, which also hid the cause of faults in tables. Only settings are redacted now. The stand-in counts item sizes in bytes as the reference does; it refused the largest permitted texts before.

Tests cover quoted keys in settings, late writes of the stand-in and a revision with the largest texts.

--- a/src/savorystand/lab/platform/items.py
+++ b/src/savorystand/lab/platform/items.py
@@ -132,12 +132,20 @@
 
     def _write(self, put: Document) -> None:
         document = put['Item']
-        if len(json.dumps(document)) > _MAX_ITEM_BYTES:
+        if _size(document) > _MAX_ITEM_BYTES:
             message = 'Item size has exceeded the maximum allowed size'
             raise OperationError(kind='ValidationException', message=message)
         self._stored[put['TableName'], document[_ID]['S']] = document
 
 
+def _size(document: Document) -> int:
+    """Return an item's size as the reference counts it, in bytes."""
+    return sum(
+        len(name) + sum(len(plain.encode()) for plain in typed.values())
+        for name, typed in document.items()
+    )
+
+
 def count_items(operation: str, fields: Document) -> tuple[int, int]:
     """Return how many items an operation reads and writes."""
     match operation:
--- a/src/savorystand/settings/loader.py
+++ b/src/savorystand/settings/loader.py
@@ -85,11 +85,18 @@
         raise SettingsError(
             path=path,
             line=exc.line,
-            problem=f'not valid TOML: {exc.problem}',
+            problem=_without_quotes(exc.problem),
             remedy='correct the line',
         ) from None
 
 
+def _without_quotes(problem: str) -> str:
+    # A quoted part of the file could be a key.
+    if "'" in problem or '"' in problem:
+        return 'not valid TOML'
+    return f'not valid TOML: {problem}'
+
+
 def _section(path: Path, text: TomlText, name: str) -> Entries:
     table = text.entries.get(name, {})
     if not isinstance(table, dict):
--- a/src/savorystand/toml/reader.py
+++ b/src/savorystand/toml/reader.py
@@ -16,6 +16,7 @@
     from savorystand.toml.scanner import Statement
 
 _AT_LINE = re.compile(r'\s*\(at line (\d+), column \d+\)$')
+_MAX_PROBLEM = 120
 _AT_END = ' (at end of document)'
 
 
@@ -57,8 +58,8 @@
     """Parse a text.
 
     Raises:
-        TomlError: the text is not valid TOML. Values of the text are not part
-            of the error.
+        TomlError: the text is not valid TOML. Its problem may quote the text,
+            always in quotation marks.
     """
     try:
         entries = tomllib.loads(text)
@@ -93,7 +94,4 @@
     else:
         line = int(match.group(1))
         problem = message[: match.start()]
-    # Messages that quote the text could show a secret from it.
-    if "'" in problem or '"' in problem:
-        problem = 'broken syntax'
-    return TomlError(line=line, problem=problem)
+    return TomlError(line=line, problem=problem[:_MAX_PROBLEM])
--- a/tests/platform/test_stand_in.py
+++ b/tests/platform/test_stand_in.py
@@ -26,6 +26,7 @@
 from savorystand.tables.editor import TableEditor
 from savorystand.tables.edits import EditConflictError
 from savorystand.tables.repository import TableRepository
+from savorystand.tables.rows import MAX_TEXT_BYTES
 from savorystand.tables.snapshot import TableSnapshot
 
 if TYPE_CHECKING:
@@ -106,6 +107,12 @@
             await store.put(_put('lost'))
         found = await store.get_many(('lost', 'c'))
         assert found == {'lost': {'n': 5, 's': 'ü'}, 'c': None}
+        await service.control(lose_next=1, late_ms=20)
+        with pytest.raises(StoreUnknownError):
+            await store.put(_put('late'))
+        with anyio.fail_after(30):
+            while await store.get('late') is None:
+                await anyio.sleep(0.01)
         await service.control(writes_limit=1)
         with pytest.raises(StoreUnavailableError):
             await store.transact((_put('d'), _put('e')), 'three')
@@ -157,7 +164,9 @@
             clock=Clock(),
         )
         assert await snapshot.read() is None
-        await editor.apply('', '', 0)
+        # The largest texts must fit in one item.
+        longest = '# é\n# '.ljust(MAX_TEXT_BYTES - 1, '"')
+        await editor.apply(longest, longest, 0)
         store.loses = True
         second = await editor.apply('', '# second', 1)
         assert not store.loses
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -47,6 +47,8 @@
     ('http://10.0.1.1', 'https://10.0.1.1', 14, 'scheme'),
     ('http://10.0.1.1:8000', 'http://a:b@10.0.1.1:8000', 14, 'IP number'),
     (f'"{_SECRET}"\n[', f'"{_SECRET}\n[', 16, 'not valid TOML'),
+    ('[admin]', f'[admin]\n{_SECRET}={{a.b=1,a.b=2}}', 18, 'not valid TOML'),
+    ('[target]', f'[{_SECRET}]\n[{_SECRET}]', 8, 'not valid TOML'),
     ('key =', f'key = "a"\n{_SECRET} =', 17, 'unknown entry in [platform]'),
     (f'"{_SECRET}"\n[', f'"{_SECRET} x"\n[', 16, 'key: does not fit'),
     (f'"{_SECRET}"\n[', f'["{_SECRET}"]\n[', 16, 'key: is not a text'),
