Check deaths that others report, and test the follower

After a partition each side believes the other dead. Taking over these beliefs as suspicions emptied the pools to 2 of 24 members for a moment; they now cause a probe, and pools keep the 12 members of the own side. A service that is registered under two names ran twice and could not bind its port; the kernel runs it once now.

--- a/src/savorystand/kernel/kernel.py
+++ b/src/savorystand/kernel/kernel.py
@@ -76,12 +76,13 @@
             await self._stop_all()
 
     def _running(self) -> list[tuple[str, Service]]:
-        pairs = ((name, self._services[name]) for name in self._order)
-        return [
-            (name, service)
-            for name, service in pairs
-            if isinstance(service, Service)
-        ]
+        # A service that has several names is run once, under the first.
+        names: dict[Service, str] = {}
+        for name in self._order:
+            service = self._services[name]
+            if isinstance(service, Service):
+                names.setdefault(service, name)
+        return [(first, service) for service, first in names.items()]
 
     async def _start_all(self, tasks: TaskGroup) -> None:
         for name, service in self._running():
--- a/src/savorystand/membership/member_list.py
+++ b/src/savorystand/membership/member_list.py
@@ -10,6 +10,8 @@
 from savorystand.membership.records import MemberRecords
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from savorystand.clock import Clock
 
 SUSPICION_MS = 3000
@@ -20,12 +22,12 @@
 class MemberList:
     """Records by node id; the higher version wins, then the higher state.
 
-    A death reported by others counts as a suspicion only: after a partition
+    A death that others report is checked, not taken over: after a partition
     each side believes the other dead, and taking its word would empty every
     pool until all members have refuted it.
     """
 
-    __slots__ = ('_clock', '_suspects', 'records')
+    __slots__ = ('_clock', '_suspects', 'death_observers', 'records')
 
     def __init__(self, *, clock: Clock, own: Member) -> None:
         """Start with the record of this node only."""
@@ -33,6 +35,8 @@
         # Monotonic time in milliseconds at which each suspicion ends.
         self._suspects: dict[str, float] = {}
         self.records = MemberRecords(clock=clock, own=own)
+        # Called with the node id of a member that others believe dead.
+        self.death_observers: list[Callable[[str], None]] = []
 
     def declare(self, *, state: MemberState, pool: str) -> None:
         """Change the record of this node; its version rises."""
@@ -53,7 +57,8 @@
         if not _outranks(heard, known):
             return False
         if heard.state is MemberState.DEAD and known.state is not heard.state:
-            return self._doubt(known, heard.version)
+            self._report_death(known)
+            return False
         if not self._supersede(heard):
             return False
         self._put(heard)
@@ -64,8 +69,13 @@
         known = self.records.lookup(node_id)
         if known is None or known is self.records.own:
             return
-        if known.state is not MemberState.DEAD:
-            self._doubt(known, known.version)
+        if known.state is MemberState.DEAD or node_id in self._suspects:
+            return
+        if known.state < MemberState.SUSPECT:
+            self._put(replace(known, state=MemberState.SUSPECT))
+        else:
+            # A leaving member stays known as leaving until it is dead.
+            self._suspects[node_id] = self._clock.now() + SUSPICION_MS
 
     def vouch(self, node_id: str) -> None:
         """Note that a member was heard from.
@@ -115,19 +125,9 @@
         self._put(replace(own, version=heard.version + 1))
         return True
 
-    def _doubt(self, known: Member, version: int) -> bool:
-        """Suspect a member; a leaving one stays known as leaving."""
-        node_id = known.peer.node_id
-        end_ms = self._suspects.get(node_id)
-        if end_ms is None:
-            end_ms = self._clock.now() + SUSPICION_MS
-        state = max(known.state, MemberState.SUSPECT)
-        doubted = replace(known, state=state, version=version)
-        news = doubted != known
-        if news:
-            self._put(doubted)
-        self._suspects[node_id] = end_ms
-        return news
+    def _report_death(self, known: Member) -> None:
+        for observer in self.death_observers:
+            observer(known.peer.node_id)
 
     def _supersede(self, heard: Member) -> bool:
         """Return False if a later process has the address of this record."""
--- a/src/savorystand/membership/probes.py
+++ b/src/savorystand/membership/probes.py
@@ -14,6 +14,8 @@
 DIRECT_MS = 300
 # A probe is given up when the next one starts.
 PROBE_MS = 1000
+# Bound on probes at a time: a failed region must not cause a burst of them.
+MAX_PROBES = 16
 # Bound on what other nodes can make this one remember.
 MAX_RELAYS = 256
 
@@ -65,10 +67,12 @@
         self._relays[self._sequence] = relay
         return self._sequence
 
-    def includes(self, node_id: str) -> bool:
-        """Return True if a probe of that member is in progress."""
-        return any(
-            probing.peer.node_id == node_id for probing in self._probes.values()
+    def may_check(self, node_id: str) -> bool:
+        """Return True if that member may be probed out of turn."""
+        if len(self._probes) >= MAX_PROBES:
+            return False
+        return all(
+            probing.peer.node_id != node_id for probing in self._probes.values()
         )
 
     def acknowledge(self, sequence: int, sender: str) -> Relay | None:
--- a/src/savorystand/membership/swim.py
+++ b/src/savorystand/membership/swim.py
@@ -74,6 +74,7 @@
         self._on_contact = on_contact
         self._outgoing = Outgoing(records=members.records, rng=rng, send=send)
         self._probes = PendingProbes()
+        members.death_observers.append(self.check)
         # Node ids left to probe in this round.
         self._turn: list[str] = []
         self._woken_ms = clock.now()
@@ -96,12 +97,15 @@
                 return
 
     def check(self, node_id: str) -> None:
-        """Probe a member to which a connection has failed."""
+        """Probe a member that seems to have failed.
+
+        Under many such hints only some are followed: the others are repeated.
+        """
         member = self._members.records.lookup(node_id)
         if member is None or member is self._members.records.own:
             return
         if member.state is not MemberState.DEAD:
-            if not self._probes.includes(node_id):
+            if self._probes.may_check(node_id):
                 self._probe(member)
 
     def expire(self) -> list[Member]:
--- a/tests/membership/fake_network.py
+++ b/tests/membership/fake_network.py
@@ -157,13 +157,6 @@
                 if not node.paused:
                     node.step(self.count)
 
-    def _deliver(self) -> None:
-        while self.queue and self.queue[0][0] <= self.clock.now():
-            source, to, payload = heapq.heappop(self.queue)[2:]
-            node = self.nodes.get(to)
-            if node and not node.paused and self.linked(source, to):
-                node.swim.receive(payload, HOST, source)
-
     def truth(self) -> dict[str, tuple[int, MemberState]]:
         """Return what every node should see: each node's own record."""
         own = [node.records.own for node in self.nodes.values()]
@@ -176,3 +169,10 @@
         """Return True if every node sees exactly the live nodes."""
         truth = self.truth()
         return all(node.alive() == truth for node in self.nodes.values())
+
+    def _deliver(self) -> None:
+        while self.queue and self.queue[0][0] <= self.clock.now():
+            source, to, payload = heapq.heappop(self.queue)[2:]
+            node = self.nodes.get(to)
+            if node and not node.paused and self.linked(source, to):
+                node.swim.receive(payload, HOST, source)
--- /dev/null
+++ b/tests/membership/test_bounds.py
@@ -0,0 +1,113 @@
+"""Malformed input and sizes of what is sent."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from savorystand.membership.conversion import MAX_NAME_BYTES
+from savorystand.membership.conversion import wire_record
+from savorystand.membership.member import Member
+from savorystand.membership.member import MemberState
+from savorystand.transport.address import PeerAddress
+from savorystand.wire.codec import encode_struct
+from savorystand.wire.gen.wire import ttypes
+from tests.membership.fake_network import BASE_PORT
+from tests.membership.fake_network import HOST
+from tests.membership.fake_network import FakeNetwork
+
+
+def _gossip() -> bytes:
+    net = FakeNetwork(rng=random.Random(1))
+    own = wire_record(net.start(BASE_PORT).records.own)
+    gossip = ttypes.Gossip(
+        sender='sender',
+        revision=1,
+        probe=ttypes.Probe(sequence=1),
+        ack=ttypes.ProbeAck(sequence=1),
+        request=ttypes.ProbeRequest(
+            sequence=1, node_id='other', host=HOST, port=1
+        ),
+        updates=[own],
+    )
+    return encode_struct(gossip)
+
+
+GOSSIP = _gossip()
+
+
+@given(
+    cut=st.integers(0, len(GOSSIP)),
+    at=st.integers(0, len(GOSSIP) - 1),
+    junk=st.binary(max_size=20),
+)
+def test_damaged_datagrams_never_raise(cut: int, at: int, junk: bytes) -> None:
+    """A damaged datagram must not end the task that receives."""
+    net = FakeNetwork(rng=random.Random(2))
+    node = net.start(BASE_PORT)
+    damaged = GOSSIP[:at] + junk + GOSSIP[at + len(junk) :]
+    node.swim.receive(damaged, HOST, 1)
+    node.swim.receive(GOSSIP[:cut], HOST, 1)
+    node.swim.receive(junk, HOST, 1)
+    assert node.swim.malformed <= 3
+    assert node.swim.malformed or cut == len(GOSSIP)
+
+
+@given(
+    field=st.sampled_from(
+        (
+            ('node_id', ''),
+            ('node_id', 'n' * (MAX_NAME_BYTES + 1)),
+            ('pool', 'p' * (MAX_NAME_BYTES + 1)),
+            ('host', 'example.org'),
+            ('port', 70000),
+            ('state', 9),
+            ('version', -1),
+            ('region', None),
+        ),
+    ),
+)
+def test_records_out_of_bounds_are_dropped(field: tuple[str, object]) -> None:
+    """One bad record must not enter the list or be passed on, by any way."""
+    net = FakeNetwork(rng=random.Random(3))
+    node = net.start(BASE_PORT)
+    record = wire_record(_record(1))
+    setattr(record, *field)
+    gossip = ttypes.Gossip(sender='s', revision=0, updates=[record])
+    push = ttypes.MembersPush(members=[record], wanted=[])
+    node.swim.receive(encode_struct(gossip), HOST, 1)
+    node.reconciler.answer(ttypes.Frame(members_push=push))
+    wanted = ttypes.MembersPush(members=[], wanted=[-1])
+    node.reconciler.answer(ttypes.Frame(members_push=wanted))
+    assert len(node.records) == 1
+    assert (node.swim.malformed, node.reconciler.malformed) == (1, 2)
+
+
+def test_large_list_is_pushed_in_frames_and_datagrams_stay_small() -> None:
+    """A new node must get a list many times the size of a frame.
+
+    The fake network checks the size of each frame and datagram.
+    """
+    net = FakeNetwork(rng=random.Random(4))
+    old = net.start(BASE_PORT)
+    for number in range(2000):
+        old.members.merge(_record(number))
+    new = net.start(BASE_PORT + 1)
+    net.exchange(new, old.records.own.peer)
+    assert len(new.records) == len(old.records) == 2002
+    net.run(1000)
+    assert net.sent > 0
+
+
+def _record(number: int) -> Member:
+    return Member(
+        peer=PeerAddress(node_id=str(number), host=HOST, port=10000 + number),
+        started_ms=number,
+        version=1,
+        state=MemberState.SERVING,
+        failure_domain='d' * MAX_NAME_BYTES,
+        region='r',
+        pool='p' * MAX_NAME_BYTES,
+    )
--- a/tests/membership/test_convergence.py
+++ b/tests/membership/test_convergence.py
@@ -114,5 +114,11 @@
     net.run(30000)
     assert all(len(node.alive()) == 12 for node in net.nodes.values())
     net.sides = {}
-    net.run(5000)
+    for _ in range(100):
+        net.run(50)
+        # No side may take over the other's belief that its own are dead.
+        assert all(
+            len(node.records.serving('pool')) >= 12
+            for node in net.nodes.values()
+        )
     assert net.converged()
--- /dev/null
+++ b/tests/membership/test_membership.py
@@ -0,0 +1,166 @@
+"""Membership and tables over sockets on the loopback interface."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import AsyncExitStack
+from contextlib import ExitStack
+from contextlib import asynccontextmanager
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+import anyio
+import pytest
+
+from savorystand.clock import Clock
+from savorystand.kernel.kernel import Kernel
+from savorystand.membership.member import MemberState
+from savorystand.membership.membership import Membership
+from savorystand.settings.node import Address
+from savorystand.settings.node import NodeSettings
+from savorystand.tables.document import TablesDocument
+from savorystand.tables.follower import TableFollower
+from savorystand.tables.holder import TableHolder
+from savorystand.tables.tables import Tables
+from savorystand.transport.network import Network
+from savorystand.transport.peers import PeerTransport
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+
+    from savorystand.call import Call
+    from savorystand.call import Outcome
+    from savorystand.call import TargetLoad
+    from savorystand.tables.route import Route
+
+pytestmark = pytest.mark.anyio
+
+HOST = '127.0.0.1'
+NOWHERE = Address(host=HOST, port=1)
+
+
+class NoCalls:
+    """An inbound side that no call reaches."""
+
+    def route(self, name: str) -> Route | None:
+        raise NotImplementedError
+
+    def load(self) -> TargetLoad:
+        raise NotImplementedError
+
+    async def serve(self, call: Call) -> Outcome:
+        raise NotImplementedError
+
+
+def free_addresses(count: int) -> list[Address]:
+    """Return addresses whose ports are free for both TCP and UDP."""
+    addresses: list[Address] = []
+    with ExitStack() as held:
+        while len(addresses) < count:
+            tcp = held.enter_context(socket.socket())
+            tcp.bind((HOST, 0))
+            port = tcp.getsockname()[1]
+            udp = held.enter_context(socket.socket(type=socket.SOCK_DGRAM))
+            with suppress(OSError):
+                udp.bind((HOST, port))
+                addresses.append(Address(host=HOST, port=port))
+    return addresses
+
+
+def parse(text: TablesDocument) -> Tables:
+    """Return tables without rows."""
+    return Tables(
+        revision=text.revision, change_id=text.change_id, routes=(), pools=()
+    )
+
+
+def build(name: str, address: Address, seeds: tuple[Address, ...]) -> Kernel:
+    """Return the kernel of a node without a target."""
+    cfg = NodeSettings(
+        failure_domain='d',
+        region='r',
+        callers=NOWHERE,
+        local=NOWHERE,
+        peers=address,
+        target=NOWHERE,
+        seeds=seeds,
+        table_service='',
+        object_store='',
+        platform_key='',
+        admin_key='',
+    )
+    kernel = Kernel()
+    kernel.register('clock', Clock())
+    kernel.register('network', Network())
+    kernel.register('tables', TableHolder())
+    membership = Membership(kernel=kernel, cfg=cfg, node_id=name)
+    kernel.register('membership', membership)
+    kernel.register('control', membership)
+    kernel.register('inbound', NoCalls())
+    transport = PeerTransport(
+        kernel=kernel, host=address.host, port=address.port
+    )
+    kernel.register('transport', transport)
+    follower = TableFollower(kernel=kernel, parse=parse, source=None)
+    kernel.register('follower', follower)
+    return kernel
+
+
+@asynccontextmanager
+async def running(kernel: Kernel) -> AsyncIterator[Membership]:
+    """Run a node for the time of the block."""
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(kernel.run, stop)
+        yield kernel.find('membership', Membership)
+        stop.set()
+
+
+def sizes(nodes: list[Membership]) -> set[int]:
+    """Return how many members the nodes see in the pool."""
+    return {len(node.serving('pool')) for node in nodes}
+
+
+def revisions(kernels: list[Kernel]) -> set[int]:
+    """Return the revisions in force on the nodes."""
+    holders = [kernel.find('tables', TableHolder) for kernel in kernels]
+    return {holder.current().revision for holder in holders}
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds; fail if it never does."""
+    with anyio.fail_after(20):
+        while not condition():
+            await anyio.sleep(0.02)
+
+
+async def test_nodes_join_leave_and_pass_tables_on() -> None:
+    """The steps must be wired to sockets, transport and kernel.
+
+    Tables of several frames reach a node that joins later, through gossip
+    and a pull over TCP.
+    """
+    addresses = free_addresses(3)
+    kernels = [
+        build(str(number), address, (addresses[0],))
+        for number, address in enumerate(addresses)
+    ]
+    text = TablesDocument(
+        revision=3, change_id='c', routes='r' * 200000, pools='p'
+    )
+    async with AsyncExitStack() as stack:
+        nodes = [
+            await stack.enter_async_context(running(kernel))
+            for kernel in kernels
+        ]
+        for node in nodes:
+            node.announce('pool')
+        await until(lambda: sizes(nodes) == {3})
+        kernels[0].find('follower', TableFollower).install(text)
+        await until(lambda: revisions(kernels) == {3})
+        nodes[2].leave()
+        await until(lambda: sizes(nodes) == {2})
+        known = nodes[0].lookup('2')
+        assert known is not None
+        assert known.state is MemberState.LEAVING
