Add the lab: stand-ins, faults, deployments and experiments

Cause: the promises of the design page can only be measured with targets, callers and faults that the repository controls. Change: add stand-in targets and open-loop callers, a network with delays, cuts and silence, two deployments with a launcher, the demonstration, eight experiments and the overhead measurement.

--- /dev/null
+++ b/src/savorystand/lab/application.py
@@ -0,0 +1,27 @@
+"""The command ``savorystand-lab``."""
+
+from __future__ import annotations
+
+import click
+
+from savorystand.lab.children import stop_with_parent
+from savorystand.lab.commands.callers import callers
+from savorystand.lab.commands.demo import demo
+from savorystand.lab.commands.node import node
+from savorystand.lab.commands.overhead import overhead
+from savorystand.lab.commands.run import run
+from savorystand.lab.commands.targets import targets
+
+
+@click.group()
+def main() -> None:
+    """Stand-ins and experiments; not part of the deployed system."""
+    stop_with_parent()
+
+
+main.add_command(callers)
+main.add_command(demo)
+main.add_command(node)
+main.add_command(overhead)
+main.add_command(run)
+main.add_command(targets)
--- /dev/null
+++ b/src/savorystand/lab/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in callers."""
--- /dev/null
+++ b/src/savorystand/lab/callers/accounting.py
@@ -0,0 +1,85 @@
+"""Judges what callers received."""
+
+from __future__ import annotations
+
+import json
+import zlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import final
+
+from savorystand.gateway import headers as names
+
+if TYPE_CHECKING:
+    from savorystand.lab.http_client import HttpAnswer
+
+WHOLE = 'whole'
+FOREIGN = 'foreign'
+LOST = 'may-have-run/lost'
+UNREACHED = 'not-run/unreached'
+MAY_HAVE_RUN = 'may-have-run'
+_SUCCESS = 200
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Record:
+    """The outcome of one operation.
+
+    ``intended_ms`` counts from the start of the run, ``latency_ms`` from the
+    intended send time. ``verdict`` is ``whole``, ``foreign`` or the last
+    refusal as ``verdict/reason``. ``entry`` is the index of the first entry
+    node, ``waited_ms`` the longest single attempt.
+    """
+
+    operation: str
+    stream: str
+    intended_ms: float
+    latency_ms: float
+    verdict: str
+    retries: int
+    own_key: bool
+    entry: int
+    waited_ms: float
+
+    @property
+    def whole(self) -> bool:
+        """Return True for the complete answer to the operation itself."""
+        return self.verdict == WHOLE
+
+    @property
+    def finished_ms(self) -> float:
+        """Return when the outcome was known, from the start of the run."""
+        return self.intended_ms + self.latency_ms
+
+
+def judge(answer: HttpAnswer, operation: str, body: bytes) -> str:
+    """Return the verdict on one response."""
+    if answer.status != _SUCCESS:
+        verdict = answer.headers.get(names.VERDICT, MAY_HAVE_RUN)
+        return f'{verdict}/{_reason(answer)}'
+    try:
+        document = json.loads(answer.body)
+    except ValueError:
+        return FOREIGN
+    expected = {'operation': operation, 'checksum': zlib.crc32(body)}
+    return WHOLE if document == expected else FOREIGN
+
+
+def percentile(numbers: list[float], share: float) -> float:
+    """Return the nearest-rank percentile, 0 of an empty list."""
+    if not numbers:
+        return 0
+    ordered = sorted(numbers)
+    rank = min(len(ordered) - 1, int(share * len(ordered)))
+    return round(ordered[rank], 2)
+
+
+def _reason(answer: HttpAnswer) -> str:
+    try:
+        document = json.loads(answer.body)
+    except ValueError:
+        return str(answer.status)
+    if isinstance(document, dict):
+        return str(document.get('reason', answer.status))
+    return str(answer.status)
--- /dev/null
+++ b/src/savorystand/lab/callers/caller.py
@@ -0,0 +1,200 @@
+"""Open-loop callers of one process."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import final
+
+import anyio
+
+from savorystand.clock import MS_PER_SECOND
+from savorystand.clock import Clock
+from savorystand.gateway import headers as names
+from savorystand.lab.callers.accounting import LOST
+from savorystand.lab.callers.accounting import MAY_HAVE_RUN
+from savorystand.lab.callers.accounting import UNREACHED
+from savorystand.lab.callers.accounting import WHOLE
+from savorystand.lab.callers.accounting import Record
+from savorystand.lab.callers.accounting import judge
+from savorystand.lab.callers.curves import arrivals
+from savorystand.lab.callers.keys import KeyStock
+from savorystand.lab.http_client import CLIENT_ERRORS
+from savorystand.lab.http_client import ConnectFailedError
+from savorystand.lab.http_client import HttpClient
+
+if TYPE_CHECKING:
+    from savorystand.lab.callers.plan import Plan
+    from savorystand.lab.callers.plan import Stream
+
+# The caller waits a little longer than its deadline for the verdict.
+_GRACE_MS = 500
+
+
+@final
+@dataclass(slots=True, kw_only=True)
+class _Operation:
+    """One operation under way; ``unresolved`` once it may have run."""
+
+    name: str
+    stream: Stream
+    intended_ms: float
+    key: str
+    own_key: bool
+    body: bytes
+    unresolved: bool = False
+    retries: int = 0
+    waited_ms: float = 0
+    retry_after_ms: float = 0
+
+
+class Callers:
+    """Sends a plan's requests at their intended times."""
+
+    __slots__ = (
+        '_bodies',
+        '_clients',
+        '_clock',
+        '_plan',
+        '_random',
+        '_stocks',
+        'records',
+    )
+
+    def __init__(self, *, plan: Plan, clock: Clock) -> None:
+        """Create callers that follow ``plan``."""
+        self._plan = plan
+        self._clock = clock
+        self._random = random.Random(f'{plan.seed}/{plan.share}')
+        self._clients = [HttpClient(address=entry) for entry in plan.entries]
+        self._stocks = [KeyStock(client=one) for one in self._clients]
+        self._bodies = {
+            stream.name: random.Random(plan.seed).randbytes(stream.body_bytes)
+            for stream in plan.streams
+        }
+        self.records: list[Record] = []
+
+    async def run(self) -> None:
+        """Send all requests and wait for their outcomes."""
+        async with anyio.create_task_group() as tasks:
+            if any(stream.keyed for stream in self._plan.streams):
+                for stock in self._stocks:
+                    tasks.start_soon(stock.refill)
+        async with anyio.create_task_group() as tasks:
+            for at_ms, stream, number in schedule(self._plan):
+                wait_ms = self._plan.start_ms + at_ms - self._clock.now()
+                if wait_ms > 0:
+                    await self._clock.sleep(wait_ms)
+                tasks.start_soon(self._perform, stream, at_ms, number)
+
+    async def _perform(self, stream: Stream, at_ms: float, number: int) -> None:
+        seed = self._plan.seed
+        name = f'{seed}-{stream.name}-{number}'
+        entry = self._random.randrange(len(self._clients))
+        own_key = stream.keyed and self._random.random() < stream.own_keys
+        operation = _Operation(
+            name=name,
+            stream=stream,
+            intended_ms=at_ms,
+            key=f'own-{name}' if own_key else '',
+            own_key=own_key,
+            body=name.encode() + self._bodies[stream.name],
+        )
+        if stream.keyed and not own_key:
+            operation.key = await self._stocks[entry].take()
+        verdict = await self._until_outcome(operation, entry)
+        latency_ms = self._since_start() - at_ms
+        self.records.append(
+            Record(
+                operation=name,
+                stream=stream.name,
+                intended_ms=at_ms,
+                latency_ms=latency_ms,
+                verdict=verdict,
+                retries=operation.retries,
+                own_key=own_key,
+                entry=entry,
+                waited_ms=operation.waited_ms,
+            ),
+        )
+
+    async def _until_outcome(self, operation: _Operation, entry: int) -> str:
+        while True:
+            verdict = await self._attempt(operation, entry)
+            if verdict == WHOLE or not self._may_retry(operation, verdict):
+                return verdict
+            if not self._plan.hard or verdict == UNREACHED:
+                await self._clock.sleep(operation.retry_after_ms)
+            if self._left_ms(operation) <= 0:
+                return verdict
+            operation.retries += 1
+            entry = self._random.randrange(len(self._clients))
+
+    async def _attempt(self, operation: _Operation, entry: int) -> str:
+        started = self._clock.now()
+        operation.retry_after_ms = 0
+        try:
+            verdict = await self._exchange(operation, entry)
+        except ConnectFailedError:
+            self._stocks[entry].discard()
+            verdict = UNREACHED
+        except CLIENT_ERRORS:
+            verdict = LOST
+        if verdict.startswith(MAY_HAVE_RUN):
+            operation.unresolved = True
+        waited_ms = self._clock.now() - started
+        operation.waited_ms = max(operation.waited_ms, waited_ms)
+        return verdict
+
+    async def _exchange(self, operation: _Operation, entry: int) -> str:
+        stream = operation.stream
+        await self._clock.sleep(self._plan.latency_ms)
+        left_ms = max(1, self._left_ms(operation))
+        headers = [
+            ('lab-operation', operation.name),
+            (names.DEADLINE, str(int(left_ms))),
+        ]
+        if operation.key:
+            headers.append((names.IDEMPOTENCY_KEY, operation.key))
+        answer = await self._clients[entry].send(
+            stream.method,
+            stream.path,
+            headers=tuple(headers),
+            body=operation.body,
+            timeout_ms=left_ms + _GRACE_MS,
+        )
+        await self._clock.sleep(self._plan.latency_ms)
+        seconds = answer.headers.get(names.RETRY_AFTER, '0')
+        operation.retry_after_ms = float(seconds) * MS_PER_SECOND
+        verdict = judge(answer, operation.name, operation.body)
+        offered = answer.headers.get(names.IDEMPOTENCY_KEY, '')
+        if offered and verdict != WHOLE and not operation.unresolved:
+            operation.key = offered
+        return verdict
+
+    def _may_retry(self, operation: _Operation, verdict: str) -> bool:
+        if operation.retries >= self._plan.max_retries:
+            return False
+        # A lost or failed request is safe to repeat under the same key.
+        return verdict.startswith(('not-run', MAY_HAVE_RUN))
+
+    def _left_ms(self, operation: _Operation) -> float:
+        spent_ms = self._since_start() - operation.intended_ms
+        return operation.stream.deadline_ms - spent_ms
+
+    def _since_start(self) -> float:
+        return self._clock.now() - self._plan.start_ms
+
+
+def schedule(plan: Plan) -> list[tuple[float, Stream, int]]:
+    """Return this process's share of the arrivals, in order of time."""
+    timed: list[tuple[float, Stream, int]] = []
+    for stream in plan.streams:
+        rng = random.Random(f'{plan.seed}/{stream.name}')
+        times = arrivals(stream.curve, stream.rate, plan.duration_ms, rng)
+        timed.extend(
+            (at_ms, stream, number) for number, at_ms in enumerate(times)
+        )
+    timed.sort(key=lambda entry: (entry[0], entry[1].name))
+    return timed[plan.share :: plan.shares]
--- /dev/null
+++ b/src/savorystand/lab/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of savorystand-lab, one file each."""
--- /dev/null
+++ b/src/savorystand/lab/commands/demo.py
@@ -0,0 +1,24 @@
+"""Command ``savorystand-lab demo``."""
+
+from __future__ import annotations
+
+import click
+
+from savorystand.lab.commands.options import deployment_options
+from savorystand.lab.commands.running import run_stoppable
+from savorystand.lab.deployments.loading import deployment_of
+from savorystand.lab.experiments.demo import Demo
+
+
+@click.command()
+@deployment_options
+def demo(deployment: str, seed: int) -> None:
+    """Run 24 nodes under load for 15 s and check what callers saw."""
+    demonstration = Demo(
+        deployment=deployment_of(deployment),
+        seed=seed,
+        printer=click.echo,
+    )
+    run_stoppable(demonstration.run)
+    if demonstration.failed:
+        raise click.ClickException('a check does not hold')
--- /dev/null
+++ b/src/savorystand/lab/deployments/__init__.py
@@ -0,0 +1,1 @@
+"""Deployments sized to one machine and their launcher."""
--- /dev/null
+++ b/src/savorystand/lab/deployments/deployment.py
@@ -0,0 +1,205 @@
+"""What a deployment consists of."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import final
+
+from savorystand.clock import MS_PER_SECOND
+from savorystand.lab.targets.description import Downstream
+from savorystand.lab.targets.description import Work
+
+WORKERS = 6
+DOMAINS_PER_REGION = 2
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LabRoute:
+    """A row of the routes table, with the work behind it.
+
+    ``mean_ms`` is the target's own work, ``calls`` the name of the route
+    that it calls downstream.
+    """
+
+    name: str
+    match: str
+    pool: str
+    importance: str
+    mean_ms: float
+    idempotent: bool = True
+    calls: str = ''
+
+    @property
+    def method(self) -> str:
+        """Return the method of the match."""
+        return self.match.partition(' ')[0]
+
+    @property
+    def path(self) -> str:
+        """Return the path of the match."""
+        return self.match.partition(' ')[2]
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LabPool:
+    """A row of the pools table."""
+
+    name: str
+    slots: int
+    connections: int
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Roles:
+    """Names of the routes that experiments use, and of two pools.
+
+    ``lookup`` and ``confirm`` enter chains of three services that end in the
+    pool ``deepest``; ``short`` and ``upload`` share the pool ``uploads``;
+    ``refund``, ``price`` and ``batch`` enter at the deepest pool.
+    """
+
+    lookup: str
+    confirm: str
+    short: str
+    upload: str
+    refund: str
+    price: str
+    batch: str
+    deepest: str
+    uploads: str
+    front: str
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Deployment:
+    """Routes, pools, regions and the latency to clients."""
+
+    name: str
+    regions: tuple[str, ...]
+    client_ms: float
+    pools: tuple[LabPool, ...]
+    routes: tuple[LabRoute, ...]
+    roles: Roles
+
+    def route(self, name: str) -> LabRoute:
+        """Return the route of that name.
+
+        Raises:
+            KeyError: there is none.
+        """
+        return {route.name: route for route in self.routes}[name]
+
+    def pool(self, name: str) -> LabPool:
+        """Return the pool of that name.
+
+        Raises:
+            KeyError: there is none.
+        """
+        return {pool.name: pool for pool in self.pools}[name]
+
+    def route_names(self, pool_name: str) -> list[str]:
+        """Return the names of the routes of a pool."""
+        return [route.name for route in self.routes if route.pool == pool_name]
+
+    def keyed_matches(self) -> frozenset[str]:
+        """Return the matches of the routes that are not idempotent."""
+        return frozenset(
+            route.match for route in self.routes if not route.idempotent
+        )
+
+    def with_slots(self, pool_name: str, slots: int) -> Deployment:
+        """Return the deployment with another number of slots in a pool."""
+        pools = tuple(
+            replace(pool, slots=slots) if pool.name == pool_name else pool
+            for pool in self.pools
+        )
+        return replace(self, pools=pools)
+
+    def with_mean(self, route_name: str, mean_ms: float) -> Deployment:
+        """Return the deployment with another service time of a route."""
+        routes = tuple(
+            replace(route, mean_ms=mean_ms)
+            if route.name == route_name
+            else route
+            for route in self.routes
+        )
+        return replace(self, routes=routes)
+
+    def capacity(self, route_name: str) -> float:
+        """Return the calls a second that the route's pool can carry."""
+        route = self.route(route_name)
+        slots = self.pool(route.pool).slots * WORKERS
+        return slots * MS_PER_SECOND / route.mean_ms
+
+    def get_paths(self, pools: set[str]) -> list[str]:
+        """Return the paths of the GET routes that ``pools`` can serve."""
+        return [
+            route.path
+            for route in self.routes
+            if route.method == 'GET' and self.chain_pools(route) <= pools
+        ]
+
+    def chain_pools(self, route: LabRoute) -> set[str]:
+        """Return the pools that take part in calls of a route."""
+        if not route.calls:
+            return {route.pool}
+        return {route.pool} | self.chain_pools(self.route(route.calls))
+
+    def chain_ms(self, route: LabRoute) -> float:
+        """Return the mean service time of a route and those below, in ms."""
+        if not route.calls:
+            return route.mean_ms
+        return route.mean_ms + self.chain_ms(self.route(route.calls))
+
+    def work(self, pool_name: str) -> tuple[Work, ...]:
+        """Return what a target of a pool does."""
+        return tuple(
+            Work(
+                match=route.match,
+                mean_ms=route.mean_ms,
+                downstream=self._downstream(route),
+            )
+            for route in self.routes
+            if route.pool == pool_name
+        )
+
+    def _downstream(self, route: LabRoute) -> tuple[Downstream, ...]:
+        if not route.calls:
+            return ()
+        below = self.route(route.calls)
+        call = Downstream(
+            method=below.method, path=below.path, keyed=not below.idempotent
+        )
+        return (call,)
+
+
+def routes_toml(deployment: Deployment) -> str:
+    """Return the routes table as operators write it."""
+    rows = []
+    for route in deployment.routes:
+        idempotent = str(route.idempotent).lower()
+        rows.append(
+            '[[route]]\n'
+            f'name = "{route.name}"\n'
+            f'match = "{route.match}"\n'
+            f'pool = "{route.pool}"\n'
+            f'importance = "{route.importance}"\n'
+            f'idempotent = {idempotent}\n',
+        )
+    return '\n'.join(rows)
+
+
+def pools_toml(deployment: Deployment) -> str:
+    """Return the pools table as operators write it."""
+    return '\n'.join(
+        '[[pool]]\n'
+        f'name = "{pool.name}"\n'
+        f'slots = {pool.slots}\n'
+        f'connections = {pool.connections}\n'
+        for pool in deployment.pools
+    )
--- /dev/null
+++ b/src/savorystand/lab/deployments/estate.py
@@ -0,0 +1,212 @@
+"""Launches a deployment as child processes on loopback."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict
+from typing import TYPE_CHECKING
+from typing import Any
+
+import anyio
+
+from savorystand.clock import Clock
+from savorystand.lab.deployments.places import delays_from
+from savorystand.lab.deployments.places import free_address
+from savorystand.lab.deployments.places import places
+from savorystand.lab.deployments.probing import answers
+from savorystand.lab.deployments.probing import listens
+from savorystand.lab.deployments.processes import EstateError
+from savorystand.lab.deployments.processes import Processes
+from savorystand.lab.deployments.publishing import publish
+from savorystand.lab.deployments.settings_file import settings_toml
+from savorystand.lab.deployments.target_control import TargetControl
+from savorystand.lab.http_client import send_json
+from savorystand.lab.targets.description import TargetDescription
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from savorystand.lab.deployments.deployment import Deployment
+    from savorystand.lab.deployments.places import NodePlace
+    from savorystand.settings.node import Address
+
+_READY_SECONDS = 25
+_POLL_SECONDS = 0.1
+_SEEDS = 3
+_LOOPBACK = '127.0.0.1'
+
+
+class Estate:
+    """Platform stand-in, nodes and targets of one deployment."""
+
+    __slots__ = (
+        '_baseline',
+        '_delayed',
+        '_directory',
+        '_seed',
+        'clock',
+        'deployment',
+        'nodes',
+        'platform',
+        'processes',
+        'targets',
+    )
+
+    def __init__(
+        self,
+        *,
+        deployment: Deployment,
+        directory: Path,
+        seed: int,
+        baseline: bool,
+        delayed: bool = True,
+        workers: tuple[str, ...] = (),
+    ) -> None:
+        """Keep settings and logs in ``directory``.
+
+        ``workers`` limits the estate to the nodes of these names.
+        """
+        self._baseline = baseline
+        self._delayed = delayed
+        self._directory = directory
+        self._seed = seed
+        self.clock = Clock()
+        self.deployment = deployment
+        self.nodes = [
+            node
+            for node in places(deployment)
+            if not workers or node.name in workers
+        ]
+        self.platform = free_address(_LOOPBACK)
+        self.processes = Processes(directory=directory)
+        self.targets = TargetControl()
+
+    async def __aenter__(self) -> Estate:
+        """Start all processes, publish the tables and wait until they serve.
+
+        Raises:
+            EstateError: a process failed or nothing serves in time.
+        """
+        try:
+            await self._start_all()
+        except BaseException:
+            self.processes.kill_all()
+            raise
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        """Stop all processes."""
+        await self.processes.stop_all()
+
+    @property
+    def entries(self) -> tuple[Address, ...]:
+        """Return the caller listeners of all nodes."""
+        return tuple(node.callers for node in self.nodes)
+
+    @property
+    def node_names(self) -> list[str]:
+        """Return the names of all nodes, which are those of their targets."""
+        return [node.name for node in self.nodes]
+
+    def node(self, name: str) -> NodePlace:
+        """Return the place of a node.
+
+        Raises:
+            KeyError: there is none of that name.
+        """
+        return {node.name: node for node in self.nodes}[name]
+
+    def start_node(self, place: NodePlace) -> None:
+        """Start a node, or its successor, in its slot.
+
+        Raises:
+            OSError: the process cannot be started.
+        """
+        path = self._directory / f'{place.name}.toml'
+        path.write_text(
+            settings_toml(
+                place,
+                region=self.deployment.regions[place.region],
+                seeds=[node.peers for node in self.nodes[:_SEEDS]],
+                platform=self.platform,
+            ),
+        )
+        delays = delays_from(place.domain) if self._delayed else {}
+        arguments = ['node', str(path)]
+        arguments += ['--control', place.control.text()]
+        arguments += ['--delays', json.dumps(delays)]
+        if self._baseline:
+            arguments.append('--baseline')
+        self.processes.start(place.name, arguments)
+
+    async def fault(self, nodes: list[NodePlace], **order: Any) -> list[Any]:
+        """Set a network fault of some nodes and return their replies.
+
+        Raises:
+            OSError: or another of ``CLIENT_ERRORS``, a node is gone.
+        """
+        return [
+            await send_json(node.control, 'POST', '/', order) for node in nodes
+        ]
+
+    async def until_serving(self, node: NodePlace) -> None:
+        """Wait until a node answers calls of every GET route.
+
+        Raises:
+            EstateError: a process of the estate has ended.
+        """
+        pools = {place.pool for place in self.nodes}
+        paths = self.deployment.get_paths(pools)
+        while paths:
+            if await answers(node.callers, paths[-1]):
+                paths.pop()
+                continue
+            self.processes.check()
+            await anyio.sleep(_POLL_SECONDS)
+
+    async def _start_all(self) -> None:
+        platform = ['platform', '--listen', self.platform.text()]
+        self.processes.start('platform', platform)
+        for pool in self.deployment.pools:
+            self._start_targets(pool.name)
+        for place in self.nodes:
+            self.start_node(place)
+        try:
+            with anyio.fail_after(_READY_SECONDS):
+                await self._until_ready()
+        except TimeoutError as exc:
+            raise EstateError('the estate does not serve in time') from exc
+
+    async def _until_ready(self) -> None:
+        while not await listens(self.platform):
+            self.processes.check()
+            await anyio.sleep(_POLL_SECONDS)
+        await publish(self.deployment, self.platform)
+        async with anyio.create_task_group() as tasks:
+            for node in self.nodes:
+                tasks.start_soon(self.until_serving, node)
+        await self.targets.reset_counts()
+
+    def _start_targets(self, pool: str) -> None:
+        path = self._directory / f'targets-{pool}.json'
+        rows = [
+            asdict(self._describe(node))
+            for node in self.nodes
+            if node.pool == pool
+        ]
+        path.write_text(json.dumps(rows))
+        control = free_address(_LOOPBACK)
+        self.targets.addresses[pool] = control
+        arguments = ['targets', str(path), '--control', control.text()]
+        self.processes.start(f'targets-{pool}', arguments)
+
+    def _describe(self, node: NodePlace) -> TargetDescription:
+        return TargetDescription(
+            name=node.name,
+            pool=node.pool,
+            address=node.target,
+            node=node.local,
+            slots=self.deployment.pool(node.pool).slots,
+            work=self.deployment.work(node.pool),
+            seed=self._seed + node.worker,
+        )
--- /dev/null
+++ b/src/savorystand/lab/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments, one file each."""
--- /dev/null
+++ b/src/savorystand/lab/experiments/run.py
@@ -0,0 +1,75 @@
+"""Runs an experiment and its baseline."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeAlias
+
+from savorystand.lab.deployments.estate import Estate
+from savorystand.lab.experiments.experiment import Measurement
+from savorystand.lab.experiments.experiment import verdict_on
+from savorystand.lab.experiments.session import Session
+
+if TYPE_CHECKING:
+    from savorystand.lab.deployments.deployment import Deployment
+    from savorystand.lab.experiments.experiment import Experiment
+
+Report: TypeAlias = dict[str, Any]
+
+
+class ExperimentRun:
+    """One experiment on one deployment with one seed."""
+
+    __slots__ = ('_deployment', '_experiment', '_seed', 'baseline', 'measured')
+
+    def __init__(
+        self, *, experiment: Experiment, deployment: Deployment, seed: int
+    ) -> None:
+        """Prepare the run; ``run`` performs it."""
+        self._experiment = experiment
+        self._deployment = experiment.prepare(deployment)
+        self._seed = seed
+        self.measured = Measurement(figures={})
+        self.baseline = Measurement(figures={})
+
+    async def run(self) -> None:
+        """Measure the nodes, then the baseline, with the same seed.
+
+        Raises:
+            EstateError: a process failed.
+            CallersError: a caller process failed.
+        """
+        self.measured = await self._measure(baseline=False)
+        self.baseline = await self._measure(baseline=True)
+
+    def report(self) -> Report:
+        """Return the JSON document of the run."""
+        figures = self.measured.figures
+        targets = [verdict_on(goal, figures) for goal in self._experiment.goals]
+        return {
+            'name': self._experiment.name,
+            'deployment': self._deployment.name,
+            'seed': self._seed,
+            'figures': figures,
+            'baseline': self.baseline.figures,
+            'targets': targets,
+            'met': all(target['met'] for target in targets),
+        }
+
+    async def _measure(self, *, baseline: bool) -> Measurement:
+        with tempfile.TemporaryDirectory(prefix='savorystand-') as name:
+            directory = Path(name)
+            estate = Estate(
+                deployment=self._deployment,
+                directory=directory,
+                seed=self._seed,
+                baseline=baseline,
+            )
+            async with estate:
+                session = Session(
+                    estate=estate, directory=directory, seed=self._seed
+                )
+                return await self._experiment.measure(session)
--- /dev/null
+++ b/src/savorystand/lab/http_client.py
@@ -0,0 +1,161 @@
+"""HTTP client with a free list of connections to one address."""
+
+from __future__ import annotations
+
+import json
+import socket
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import final
+
+import anyio
+import httpcore
+
+from savorystand.clock import MS_PER_SECOND
+
+if TYPE_CHECKING:
+    from savorystand.call import Headers
+    from savorystand.settings.node import Address
+
+CLIENT_ERRORS = (
+    OSError,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.ConnectionNotAvailable,
+)
+_NO_DELAY = ((socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),)
+
+
+class ConnectFailedError(OSError):
+    """No connection was made, so that nothing was sent."""
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HttpAnswer:
+    """One whole HTTP response; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class HttpClient:
+    """Sends requests to one address over connections of a free list."""
+
+    __slots__ = ('_address', '_backend', '_free')
+
+    def __init__(self, *, address: Address) -> None:
+        """Connect to ``address`` on first use."""
+        self._address = address
+        self._backend = httpcore.AnyIOBackend()
+        self._free: list[httpcore.AsyncHTTP11Connection] = []
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: Headers = (),
+        body: bytes = b'',
+        timeout_ms: float = 10000,
+    ) -> HttpAnswer:
+        """Send one request and return its whole response.
+
+        Raises:
+            ConnectFailedError: nothing was sent.
+            TimeoutError: no whole response within ``timeout_ms``.
+            OSError: or another of ``CLIENT_ERRORS``, the connection broke.
+        """
+        with anyio.fail_after(timeout_ms / MS_PER_SECOND):
+            conn = await self._take()
+            return await self._exchange(
+                conn,
+                self._request(method, path, headers, body),
+            )
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        while self._free:
+            await self._free.pop().aclose()
+
+    async def _exchange(
+        self,
+        conn: httpcore.AsyncHTTP11Connection,
+        request: httpcore.Request,
+    ) -> HttpAnswer:
+        try:
+            response = await conn.handle_async_request(request)
+            body = await response.aread()
+            await response.aclose()
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await conn.aclose()
+            raise
+        if conn.is_idle():
+            self._free.append(conn)
+        pairs = (
+            (name.decode('latin-1').lower(), text.decode('latin-1'))
+            for name, text in response.headers
+        )
+        return HttpAnswer(
+            status=response.status, headers=dict(pairs), body=body
+        )
+
+    async def _take(self) -> httpcore.AsyncHTTP11Connection:
+        while self._free:
+            conn = self._free.pop()
+            if not conn.has_expired():
+                return conn
+            await conn.aclose()
+        host = self._address.host
+        port = self._address.port
+        try:
+            stream = await self._backend.connect_tcp(
+                host, port, socket_options=_NO_DELAY
+            )
+        except (OSError, httpcore.NetworkError) as exc:
+            raise ConnectFailedError(f'{host}:{port}: {exc}') from exc
+        origin = httpcore.Origin(b'http', host.encode(), port)
+        return httpcore.AsyncHTTP11Connection(origin=origin, stream=stream)
+
+    def _request(
+        self, method: str, path: str, headers: Headers, body: bytes
+    ) -> httpcore.Request:
+        own = (
+            ('host', self._address.text()),
+            ('content-length', str(len(body))),
+        )
+        return httpcore.Request(
+            method=method,
+            url=httpcore.URL(
+                scheme=b'http',
+                host=self._address.host.encode(),
+                port=self._address.port,
+                target=path.encode('latin-1'),
+            ),
+            headers=[
+                (name.encode('latin-1'), text.encode('latin-1'))
+                for name, text in (*own, *headers)
+            ],
+            content=body,
+        )
+
+
+async def send_json(
+    address: Address, method: str, path: str, document: object = None
+) -> Any:
+    """Send a JSON document on a connection of its own; return the answer's.
+
+    Raises:
+        OSError: or another of ``CLIENT_ERRORS``, the request failed.
+        TimeoutError: no answer came.
+    """
+    client = HttpClient(address=address)
+    body = b'' if document is None else json.dumps(document).encode()
+    try:
+        answer = await client.send(method, path, body=body)
+    finally:
+        await client.close()
+    return json.loads(answer.body) if answer.body else None
