Run the demonstration's estate

Cause: uvicorn takes bound methods for ASGI 2, and a daemon thread in a buffered read aborts the interpreter at exit. Change: control endpoints are ASGI objects in one module, and child processes watch the raw descriptor of their input.

--- a/src/savorystand/lab/children.py
+++ b/src/savorystand/lab/children.py
@@ -109,5 +109,7 @@
 
 
 def _await_end() -> None:
-    sys.stdin.buffer.read()
+    # Buffered input is locked when the interpreter ends; a descriptor is not.
+    while os.read(sys.stdin.fileno(), 1):
+        continue
     os.kill(os.getpid(), signal.SIGTERM)
--- a/src/savorystand/lab/commands/running.py
+++ b/src/savorystand/lab/commands/running.py
@@ -39,7 +39,7 @@
             tasks.cancel_scope.cancel()
             return False
     except* _FAILURES as failures:
-        details = '; '.join(str(exc) for exc in failures.exceptions)
+        details = '; '.join(_causes(failures))
         raise click.ClickException(details) from failures
     return True
 
@@ -49,3 +49,9 @@
         async for _ in signals:
             tasks.cancel_scope.cancel()
             return
+
+
+def _causes(failure: BaseException) -> list[str]:
+    if not isinstance(failure, BaseExceptionGroup):
+        return [str(failure) or type(failure).__name__]
+    return [cause for inner in failure.exceptions for cause in _causes(inner)]
--- /dev/null
+++ b/src/savorystand/lab/control.py
@@ -0,0 +1,66 @@
+"""Small HTTP endpoints that control a stand-in."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeAlias
+from typing import cast
+
+from savorystand.gateway.asgi import json_reply
+from savorystand.gateway.asgi import request_body
+from savorystand.gateway.asgi import send_reply
+from savorystand.gateway.server import HttpListener
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskStatus
+
+    from savorystand.gateway.application import HttpApplication
+    from savorystand.gateway.asgi import Receive
+    from savorystand.gateway.asgi import Scope
+    from savorystand.gateway.asgi import Send
+    from savorystand.settings.node import Address
+
+Order: TypeAlias = dict[str, Any]
+Obey: TypeAlias = Callable[[str, Order], Awaitable[Order]]
+
+
+class ControlEndpoint:
+    """ASGI application that passes JSON orders to a function."""
+
+    __slots__ = ('_obey',)
+
+    def __init__(self, *, obey: Obey) -> None:
+        """Pass method and path, and the order, to ``obey``."""
+        self._obey = obey
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one order (ASGI version 3)."""
+        body = await request_body(receive)
+        order = json.loads(body) if body else {}
+        name = f'{scope["method"]} {scope["path"]}'
+        await send_reply(send, json_reply(await self._obey(name, order)))
+
+
+async def listen(
+    app: object,
+    address: Address,
+    *,
+    task_status: TaskStatus[None],
+) -> None:
+    """Serve an ASGI application until cancelled.
+
+    Raises:
+        OSError: the address cannot be bound.
+    """
+    listener = HttpListener(
+        app=cast('HttpApplication', app),
+        host=address.host,
+        port=address.port,
+    )
+    await listener.run(task_status=task_status)
--- a/src/savorystand/lab/node_runner.py
+++ b/src/savorystand/lab/node_runner.py
@@ -5,19 +5,15 @@
 
 from __future__ import annotations
 
-import json
 import signal
 from importlib import import_module
 from typing import TYPE_CHECKING
-from typing import Any
 from typing import cast
 
 import anyio
 
-from savorystand.gateway.asgi import json_reply
-from savorystand.gateway.asgi import request_body
-from savorystand.gateway.asgi import send_reply
-from savorystand.gateway.server import HttpListener
+from savorystand.lab.control import ControlEndpoint
+from savorystand.lab.control import listen
 from savorystand.node.builder import build_node
 from savorystand.node.builder import new_node_id
 
@@ -25,18 +21,15 @@
     from collections.abc import Callable
     from pathlib import Path
 
-    from savorystand.gateway.application import HttpApplication
-    from savorystand.gateway.asgi import Receive
-    from savorystand.gateway.asgi import Scope
-    from savorystand.gateway.asgi import Send
     from savorystand.kernel.kernel import Kernel
+    from savorystand.lab.control import Order
     from savorystand.lab.faulty_network import FaultyNetwork
     from savorystand.settings.node import Address
     from savorystand.settings.node import NodeSettings
 
 
 class FaultControl:
-    """HTTP endpoint that sets the faults of one node's network."""
+    """Sets the faults of one node's network."""
 
     __slots__ = ('_network',)
 
@@ -44,14 +37,8 @@
         """Control ``network``."""
         self._network = network
 
-    async def __call__(
-        self, scope: Scope, receive: Receive, send: Send
-    ) -> None:
-        """Serve one order (ASGI version 3)."""
-        order = json.loads(await request_body(receive) or b'{}')
-        await send_reply(send, json_reply(self._obey(order)))
-
-    def _obey(self, order: dict[str, Any]) -> dict[str, int]:
+    async def obey(self, name: str, order: Order) -> Order:
+        """Set cuts, or silence connections and return how many."""
         match order:
             case {'cut': prefixes}:
                 self._network.cut(prefixes)
@@ -79,7 +66,9 @@
     stop = anyio.Event()
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_stop_on_signal, stop)
-        await tasks.start(_listen, FaultControl(network=network), control)
+        faults = FaultControl(network=network)
+        endpoint = ControlEndpoint(obey=faults.obey)
+        await tasks.start(listen, endpoint, control)
         await kernel.run(stop)
         tasks.cancel_scope.cancel()
 
@@ -109,17 +98,3 @@
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             stop.set()
-
-
-async def _listen(
-    app: object,
-    address: Address,
-    *,
-    task_status: anyio.abc.TaskStatus[None],
-) -> None:
-    listener = HttpListener(
-        app=cast('HttpApplication', app),
-        host=address.host,
-        port=address.port,
-    )
-    await listener.run(task_status=task_status)
