Read a child's input once

Cause: the wait for the end of input was a loop without a body. Change: read once, as the lab never writes to a child's input.

--- a/src/savorystand/lab/children.py
+++ b/src/savorystand/lab/children.py
@@ -110,6 +110,6 @@
 
 def _await_end() -> None:
     # Buffered input is locked when the interpreter ends; a descriptor is not.
-    while os.read(sys.stdin.fileno(), 1):
-        continue
+    # Nothing is ever written, so that the read ends with the input.
+    os.read(sys.stdin.fileno(), 1)
     os.kill(os.getpid(), signal.SIGTERM)
