--- a/src/savorystand/lab/deployments/estate.py
+++ b/src/savorystand/lab/deployments/estate.py
@@ -17,7 +17,7 @@
 from savorystand.lab.deployments.probing import listens
 from savorystand.lab.deployments.processes import EstateError
 from savorystand.lab.deployments.processes import Processes
-from savorystand.lab.deployments.publishing import publish
+from savorystand.lab.deployments.publishing import LabEditor
 from savorystand.lab.deployments.settings_file import settings_toml
 from savorystand.lab.deployments.target_control import TargetControl
 from savorystand.lab.http_client import send_json
@@ -181,7 +181,7 @@
         while not await listens(self.platform):
             self.processes.check()
             await anyio.sleep(_POLL_SECONDS)
-        await publish(self.deployment, self.platform)
+        await LabEditor(platform=self.platform).publish(self.deployment)
         async with anyio.create_task_group() as tasks:
             for node in self.nodes:
                 tasks.start_soon(self.until_serving, node)
--- a/src/savorystand/lab/deployments/publishing.py
+++ b/src/savorystand/lab/deployments/publishing.py
@@ -1,42 +1,58 @@
-"""Publishes the tables of a deployment, as an operator would."""
+"""Edits the tables of an estate, as operators would.
+
+This is the one place that depends on the table editor and on the control of
+the platform stand-in.
+"""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from savorystand.lab.deployments.processes import EstateError
+
 if TYPE_CHECKING:
     from savorystand.lab.deployments.deployment import Deployment
-    from savorystand.lab.deployments.estate import Estate
     from savorystand.settings.node import Address
 
 
-async def publish(deployment: Deployment, platform: Address) -> None:
-    """Publish both tables.
+class LabEditor:
+    """One operator's editor."""
 
-    Raises:
-        NotImplementedError: until the table editor is merged.
-    """
-    raise NotImplementedError('the table editor is not merged yet')
+    __slots__ = ('_platform',)
 
+    def __init__(self, *, platform: Address) -> None:
+        """Edit the tables kept at ``platform``."""
+        self._platform = platform
 
-class EditorRun:
-    """Two editors that make changes side by side."""
+    async def publish(self, deployment: Deployment) -> int:
+        """Publish both tables and return the accepted revision.
+
+        Raises:
+            EstateError: the edit was not accepted.
+        """
+        raise EstateError('the table editor is not merged yet')
 
-    __slots__ = ('_changes', '_estate', '_lost_share', '_seed')
+    async def set_connections(self, pool: str, connections: int) -> int:
+        """Change a pool's row, again after conflicts; return the revision.
 
-    def __init__(
-        self, *, estate: Estate, changes: int, lost_share: float, seed: int
-    ) -> None:
-        """Make ``changes`` in all, losing a share of the store's answers."""
-        self._estate = estate
-        self._changes = changes
-        self._lost_share = lost_share
-        self._seed = seed
+        Raises:
+            EstateError: the edit was not accepted.
+        """
+        raise EstateError('the table editor is not merged yet')
 
-    async def measure(self) -> dict[str, float]:
-        """Return the figures of the run.
+    async def connections(self, pool: str) -> int:
+        """Return what the newest accepted revision says of a pool.
 
         Raises:
-            NotImplementedError: until the table editor is merged.
+            EstateError: the tables cannot be read.
         """
-        raise NotImplementedError('the table editor is not merged yet')
+        raise EstateError('the table editor is not merged yet')
+
+
+async def lose_answers(platform: Address, share: float, seed: int) -> None:
+    """Let the platform stand-in lose a share of its answers after writes.
+
+    Raises:
+        EstateError: the platform stand-in does not obey.
+    """
+    raise EstateError('the platform stand-in is not merged yet')
--- a/src/savorystand/lab/experiments/config.py
+++ b/src/savorystand/lab/experiments/config.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from savorystand.lab.deployments.publishing import EditorRun
+from savorystand.lab.experiments.editors import EditorRun
 from savorystand.lab.experiments.experiment import Experiment
 from savorystand.lab.experiments.experiment import Measurement
 from savorystand.lab.experiments.experiment import goal
