--- a/src/savorystand/lab/baseline.py
+++ b/src/savorystand/lab/baseline.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 from typing import final
 
@@ -12,6 +13,7 @@
 from savorystand.admission.queue import AdmissionQueue
 from savorystand.admission.queue import Permit
 from savorystand.call import TargetLoad
+from savorystand.clock import Clock
 from savorystand.membership.directory import Directory
 from savorystand.retry.policy import RetryPolicy
 from savorystand.routing.router import Choice
@@ -19,9 +21,11 @@
 from savorystand.verdict import NotRun
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from savorystand.call import Call
     from savorystand.call import Outcome
-    from savorystand.clock import Clock
+    from savorystand.kernel.kernel import Factory
     from savorystand.kernel.kernel import Kernel
     from savorystand.tables.route import Route
     from savorystand.transport.address import PeerAddress
@@ -159,3 +163,14 @@
         if retries_left <= 0:
             return False
         return route.idempotent or isinstance(refusal, NotRun)
+
+
+BASELINE_PLAN: Mapping[str, Factory] = MappingProxyType(
+    {
+        'admission': lambda kernel: BaselineAdmission(
+            clock=kernel.find('clock', Clock),
+        ),
+        'routing': lambda kernel: BaselineRouter(kernel=kernel),
+        'retry': lambda kernel: BaselineRetryPolicy(),
+    }
+)
--- a/src/savorystand/lab/commands/platform.py
+++ b/src/savorystand/lab/commands/platform.py
@@ -7,36 +7,32 @@
 import anyio
 import click
 
+from savorystand.lab.commands.options import ADDRESS
 from savorystand.lab.platform.application import platform_app
 from savorystand.lab.platform.listener import PlatformListener
 
 if TYPE_CHECKING:
-    from typing import TextIO
+    from savorystand.settings.node import Address
 
 
 @click.command('platform')
-@click.option('--host', default='127.0.0.1', show_default=True)
-@click.option('--port', default=0, help='0 takes a free port.')
-@click.option('--key-file', type=click.File(), required=True)
+@click.option('--listen', type=ADDRESS, required=True, help='IP:PORT')
+@click.option('--key', required=True, help='Bearer token of its clients.')
 @click.option('--seed', default=0, show_default=True)
-def platform(
-    *,
-    host: str,
-    port: int,
-    key_file: TextIO,
-    seed: int,
-) -> None:
+def platform(*, listen: Address, key: str, seed: int) -> None:
     """Serve a stand-in of table service and object store.
 
     Its behaviour is set by POST /control.
     """
-    app = platform_app(
-        key=key_file.read().strip(),
-        seed=seed,
-    )
+    app = platform_app(key=key, seed=seed)
     try:
-        listener = PlatformListener(app=app, host=host, port=port)
+        listener = PlatformListener(
+            app=app,
+            host=listen.host,
+            port=listen.port,
+        )
     except OSError as exc:
-        raise click.ClickException(f'{host}:{port}: {exc.strerror}') from exc
-    click.echo(f'listening=http://{host}:{listener.port}')
+        where = listen.text()
+        raise click.ClickException(f'{where}: {exc.strerror}') from exc
+    click.echo(f'listening=http://{listen.text()}')
     anyio.run(listener.run)
--- /dev/null
+++ b/src/savorystand/lab/deployments/publishing.py
@@ -0,0 +1,174 @@
+"""Edits the tables of an estate, as operators would."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from savorystand.clock import Clock
+from savorystand.lab.deployments.processes import EstateError
+from savorystand.lab.deployments.settings_file import PLATFORM_KEY
+from savorystand.lab.http_client import send_json
+from savorystand.platform.connections import ServiceConnections
+from savorystand.platform.errors import StoreError
+from savorystand.platform.table_store import TableStore
+from savorystand.tables.editor import TableEditor
+from savorystand.tables.edits import EditConflictError
+from savorystand.tables.edits import EditError
+from savorystand.tables.parser import parse_tables
+from savorystand.tables.repository import TableRepository
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from savorystand.lab.deployments.deployment import Deployment
+    from savorystand.lab.deployments.deployment import LabPool
+    from savorystand.settings.node import Address
+    from savorystand.tables.document import TablesDocument
+    from savorystand.tables.pool import Pool
+
+
+class LabEditor:
+    """One operator's editor."""
+
+    __slots__ = ('_clock', '_editor', '_repository')
+
+    def __init__(self, *, platform: Address) -> None:
+        """Edit the tables kept at ``platform``."""
+        self._clock = Clock()
+        connections = ServiceConnections(address=platform, key=PLATFORM_KEY)
+        self._repository = TableRepository(
+            store=TableStore(connections=connections),
+        )
+        self._editor = TableEditor(
+            repository=self._repository,
+            snapshot=None,
+            clock=self._clock,
+        )
+
+    async def publish(self, deployment: Deployment) -> int:
+        """Publish both tables and return the accepted revision.
+
+        Raises:
+            EstateError: the edit was not accepted.
+        """
+        routes = routes_text(deployment)
+        pools = _rows_text('pool', map(_pool_row, deployment.pools))
+        try:
+            accepted = await self._editor.apply(routes, pools, 0)
+        except (EditError, ValueError) as exc:
+            raise EstateError(str(exc)) from exc
+        return accepted.document.revision
+
+    async def set_connections(self, pool: str, connections: int) -> int:
+        """Change a pool's row, again after conflicts; return the revision.
+
+        Raises:
+            EstateError: the edit was not accepted.
+        """
+        while True:
+            newest = await self._newest()
+            pools = _with_connections(newest, pool, connections)
+            try:
+                accepted = await self._editor.apply(
+                    newest.routes,
+                    pools,
+                    newest.revision,
+                )
+            except EditConflictError:
+                continue
+            except EditError as exc:
+                raise EstateError(str(exc)) from exc
+            return accepted.document.revision
+
+    async def connections(self, pool: str) -> int:
+        """Return what the newest accepted revision says of a pool.
+
+        Raises:
+            EstateError: the tables cannot be read.
+        """
+        row = parse_tables(await self._newest()).pool(pool)
+        if row is None:
+            raise EstateError(f'no pool {pool} in the newest revision')
+        return row.connections
+
+    async def _newest(self) -> TablesDocument:
+        try:
+            revision = await self._repository.head_revision()
+            return await self._repository.fetch(revision)
+        except StoreError as exc:
+            raise EstateError(f'tables cannot be read: {exc}') from exc
+
+
+async def lose_answers(platform: Address, share: float, seed: int) -> None:
+    """Let the platform stand-in lose a share of its answers after writes.
+
+    Its random numbers follow the seed that it was started with.
+
+    Raises:
+        EstateError: the platform stand-in does not obey.
+    """
+    await control_platform(platform, {'lose_share': share, 'late_ms': seed % 2})
+
+
+async def control_platform(
+    platform: Address,
+    order: dict[str, object],
+) -> None:
+    """Set the behaviour of the platform stand-in.
+
+    Raises:
+        EstateError: it does not obey.
+    """
+    answer = await send_json(platform, 'POST', '/control', order)
+    problem = answer.get('problem')
+    if problem is not None:
+        raise EstateError(f'platform stand-in: {problem}')
+
+
+def routes_text(deployment: Deployment) -> str:
+    """Return the routes table of a deployment as TOML."""
+    return _rows_text(
+        'route',
+        (
+            {
+                'name': route.name,
+                'match': route.match,
+                'pool': route.pool,
+                'importance': route.importance,
+                'idempotent': route.idempotent,
+            }
+            for route in deployment.routes
+        ),
+    )
+
+
+def _pool_row(pool: Pool | LabPool) -> dict[str, object]:
+    return {
+        'name': pool.name,
+        'slots': pool.slots,
+        'connections': pool.connections,
+    }
+
+
+def _with_connections(
+    document: TablesDocument,
+    name: str,
+    connections: int,
+) -> str:
+    pools = (
+        replace(pool, connections=connections) if pool.name == name else pool
+        for pool in parse_tables(document).pools
+    )
+    return _rows_text('pool', map(_pool_row, pools))
+
+
+def _rows_text(kind: str, rows: Iterable[dict[str, object]]) -> str:
+    # Strings, numbers and booleans look the same in JSON and TOML.
+    tables = (
+        f'[[{kind}]]\n'
+        + ''.join(f'{name} = {json.dumps(row[name])}\n' for name in row)
+        for row in rows
+    )
+    return '\n'.join(tables)
--- /dev/null
+++ b/src/savorystand/lab/node_runner.py
@@ -0,0 +1,72 @@
+"""Runs the real node with services of its kernel replaced."""
+
+from __future__ import annotations
+
+import signal
+from typing import TYPE_CHECKING
+
+import anyio
+
+from savorystand.lab.baseline import BASELINE_PLAN
+from savorystand.lab.control import ControlEndpoint
+from savorystand.lab.control import listen
+from savorystand.node.builder import build_node
+from savorystand.node.builder import new_node_id
+
+if TYPE_CHECKING:
+    from savorystand.kernel.kernel import Factory
+    from savorystand.lab.control import Order
+    from savorystand.lab.faulty_network import FaultyNetwork
+    from savorystand.settings.node import Address
+    from savorystand.settings.node import NodeSettings
+
+
+class FaultControl:
+    """Sets the faults of one node's network."""
+
+    __slots__ = ('_network',)
+
+    def __init__(self, *, network: FaultyNetwork) -> None:
+        """Control ``network``."""
+        self._network = network
+
+    async def obey(self, name: str, order: Order) -> Order:
+        """Set cuts, or silence connections and return how many."""
+        match order:
+            case {'cut': prefixes}:
+                self._network.cut(prefixes)
+            case {'silence': share, 'seed': seed}:
+                return {'silenced': self._network.silence(share, seed)}
+        return {}
+
+
+async def run_lab_node(
+    cfg: NodeSettings,
+    *,
+    network: FaultyNetwork,
+    control: Address,
+    baseline: bool,
+) -> None:
+    """Run a node until SIGTERM, then drain it.
+
+    Raises:
+        OSError: an address cannot be bound.
+    """
+    replaced: dict[str, Factory] = {'network': lambda kernel: network}
+    if baseline:
+        replaced.update(BASELINE_PLAN)
+    kernel = build_node(cfg, node_id=new_node_id(), replace=replaced)
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_stop_on_signal, stop)
+        faults = FaultControl(network=network)
+        endpoint = ControlEndpoint(obey=faults.obey)
+        await tasks.start(listen, endpoint, control)
+        await kernel.run(stop)
+        tasks.cancel_scope.cancel()
+
+
+async def _stop_on_signal(stop: anyio.Event) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            stop.set()
--- /dev/null
+++ b/src/savorystand/lab/targets/process.py
@@ -0,0 +1,84 @@
+"""Runs several targets and their control endpoint in one process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from savorystand.clock import Clock
+from savorystand.lab.control import ControlEndpoint
+from savorystand.lab.control import listen
+from savorystand.lab.targets.journal import ExecutionJournal
+from savorystand.lab.targets.target import Target
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from savorystand.lab.control import Order
+    from savorystand.lab.targets.description import TargetDescription
+    from savorystand.settings.node import Address
+
+
+class TargetProcess:
+    """The targets of one process, by name, and their common journal."""
+
+    __slots__ = ('_descriptions', '_journal', '_targets')
+
+    def __init__(self, *, descriptions: Iterable[TargetDescription]) -> None:
+        """Create the targets; ``run`` starts them."""
+        clock = Clock()
+        self._journal = ExecutionJournal()
+        self._descriptions = tuple(descriptions)
+        self._targets = {
+            row.name: Target(
+                description=row, clock=clock, journal=self._journal
+            )
+            for row in self._descriptions
+        }
+
+    async def run(self, control: Address) -> None:
+        """Serve all targets, and the control endpoint, until cancelled.
+
+        Raises:
+            OSError: an address cannot be bound.
+        """
+        endpoint = ControlEndpoint(obey=self._obey)
+        async with anyio.create_task_group() as tasks:
+            for row in self._descriptions:
+                target = self._targets[row.name]
+                await tasks.start(listen, target, row.address)
+                tasks.start_soon(target.node.announce_always)
+            await tasks.start(listen, endpoint, control)
+
+    async def _obey(self, name: str, order: Order) -> Order:
+        match name:
+            case 'GET /counts':
+                return {
+                    'counts': self._journal.counts(),
+                    'cancelled': self._journal.cancelled(),
+                    'last_starts': self._journal.last_starts(),
+                }
+            case 'POST /reset':
+                self._journal.clear()
+            case 'POST /condition':
+                for target in order['targets']:
+                    await _impose(self._targets[target], order)
+        return {}
+
+
+async def _impose(target: Target, order: Order) -> None:
+    conditions = target.conditions
+    match order:
+        case {'slow': factor, 'for_ms': for_ms}:
+            conditions.slow(factor, for_ms)
+        case {'stall': for_ms}:
+            conditions.stall(for_ms)
+        case {'report_lag_ms': lag_ms}:
+            conditions.report_lag_ms = lag_ms
+        case {'serving': True}:
+            target.node.serving = True
+        case {'serving': False}:
+            await target.node.leave()
+        case {'draining': draining}:
+            conditions.draining = draining
