--- /dev/null
+++ b/src/savorystand/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and experiments; not part of the deployed system."""
--- a/src/savorystand/membership/membership.py
+++ b/src/savorystand/membership/membership.py
@@ -38,6 +38,8 @@
 _GOSSIP_MS = 250
 _SECOND_MS = 1000
 _RECONCILE_MS = 10000
+# Leaves open the connections of the last 6 exchanges.
+_UNUSED_MS = 60000
 
 FrameAnswer: TypeAlias = Callable[[Message], Message | None]
 
@@ -174,6 +176,7 @@
             (_SECOND_MS, self._swim.probe_next),
             (_SECOND_MS, self._swim.retry_lost),
             (_RECONCILE_MS, self._exchanges.begin_regular),
+            (_RECONCILE_MS, lambda: transport.close_unused(_UNUSED_MS)),
         )
         async with udp, anyio.create_task_group() as tasks:
             self._exchanges.start(transport, tasks)
--- a/src/savorystand/membership/outgoing.py
+++ b/src/savorystand/membership/outgoing.py
@@ -100,9 +100,7 @@
 
     def sample(self, count: int, *, without: str = '') -> list[Member]:
         """Return up to ``count`` random members other than ``without``."""
-        others = [
-            member
-            for member in self._records.others()
-            if member.peer.node_id != without
-        ]
-        return self._random.sample(others, min(count, len(others)))
+        others = self._records.others()
+        drawn = self._random.sample(others, min(count + 1, len(others)))
+        others = [member for member in drawn if member.peer.node_id != without]
+        return others[:count]
--- a/src/savorystand/membership/records.py
+++ b/src/savorystand/membership/records.py
@@ -32,6 +32,7 @@
         '_clock',
         '_dead',
         '_observers',
+        '_others',
         '_pools',
         '_records',
         'digests',
@@ -46,6 +47,8 @@
         # Monotonic time of death in milliseconds, in order of death.
         self._dead: dict[str, float] = {}
         self._pools = PoolIndex()
+        # Built when asked for: most datagrams go out between two changes.
+        self._others: list[Member] | None = None
         self._observers: list[ChangeObserver] = []
         self.digests = BucketDigests()
         self.own = own
@@ -64,12 +67,15 @@
         return self._records.values()
 
     def others(self) -> list[Member]:
-        """Return the other members that are not dead."""
-        return [
-            member
-            for member in self._records.values()
-            if member is not self.own and member.state is not MemberState.DEAD
-        ]
+        """Return the other members that are not dead; do not modify it."""
+        if self._others is None:
+            self._others = [
+                member
+                for member in self._records.values()
+                if member is not self.own
+                and member.state is not MemberState.DEAD
+            ]
+        return self._others
 
     def serving(self, pool: str) -> list[Member]:
         """Return the members of a pool that may get new work."""
@@ -138,6 +144,7 @@
         self._records[node_id] = member
         if node_id == self.own.peer.node_id:
             self.own = member
+        self._others = None
         self._pools.replace(known, member)
 
     def _forget(self, member: Member) -> None:
--- a/src/savorystand/transport/connection.py
+++ b/src/savorystand/transport/connection.py
@@ -115,6 +115,11 @@
         idle_ms = self._clock.now() - self._received_ms
         return not self.closed and idle_ms < IDLE_CHECK_MS
 
+    def unused(self, idle_ms: float) -> bool:
+        """Return True if it has no calls and had no traffic for so long."""
+        silent_ms = self._clock.now() - self._received_ms
+        return not self._pending and silent_ms >= idle_ms
+
     async def check(self) -> bool:
         """Return True once traffic shows that the connection still works."""
         if self.closed or self.fresh():
@@ -142,7 +147,7 @@
         finally:
             self._pending.close(stream)
             if pending.outcome is None:
-                self._send_cancel(stream)
+                self.send(ttypes.Frame(cancel=ttypes.Cancel(stream=stream)))
 
     async def _exchange(
         self,
@@ -161,9 +166,6 @@
             return Error(MayHaveRun(reason=Reason.DEADLINE))
         return pending.outcome
 
-    def _send_cancel(self, stream: int) -> None:
-        self.send(ttypes.Frame(cancel=ttypes.Cancel(stream=stream)))
-
     async def _watch_silence(self) -> None:
         while True:
             before = self._clock.now()
--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 from typing import TypeAlias
+from typing import TypeVar
 
 import anyio
 
@@ -25,6 +26,8 @@
 from savorystand.wire.codec import Message
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from anyio.abc import ByteStream
     from anyio.abc import TaskGroup
     from anyio.abc import TaskStatus
@@ -32,6 +35,7 @@
     from savorystand.kernel.kernel import Kernel
 
 _CONNECT_MS = 1000
+_NewsT = TypeVar('_NewsT')
 
 
 LoadObserver: TypeAlias = Callable[[PeerAddress, TargetLoad], None]
@@ -125,6 +129,17 @@
         if conn is not None:
             conn.abort()
 
+    def close_unused(self, idle_ms: float) -> None:
+        """Close connections without calls and without traffic for so long.
+
+        Anti-entropy goes to random members: its connections would otherwise
+        add up to one for each member.
+        """
+        for peer, conn in list(self._connections.items()):
+            if conn.unused(idle_ms):
+                del self._connections[peer]
+                conn.abort()
+
     async def _connection(self, peer: PeerAddress) -> PeerConnection | None:
         conn = self._connections.get(peer)
         if conn is not None and conn.fresh():
@@ -145,8 +160,10 @@
         stream = await self._connect(peer)
         conn = PeerConnection(
             clock=self._clock,
-            on_load=lambda load: self._observe_load(peer, load),
-            on_control=lambda frame: self._observe_control(peer, frame),
+            on_load=lambda load: _notify(self._load_observers, peer, load),
+            on_control=lambda frame: _notify(
+                self._control_observers, peer, frame
+            ),
         )
         self._connections[peer] = conn
         self._tasks.start_soon(conn.run, stream)
@@ -173,10 +190,11 @@
         finally:
             self._served.discard(conn)
 
-    def _observe_load(self, peer: PeerAddress, load: TargetLoad) -> None:
-        for observer in self._load_observers:
-            observer(peer, load)
 
-    def _observe_control(self, peer: PeerAddress, frame: Message) -> None:
-        for observer in self._control_observers:
-            observer(peer, frame)
+def _notify(
+    observers: Iterable[Callable[[PeerAddress, _NewsT], None]],
+    peer: PeerAddress,
+    news: _NewsT,
+) -> None:
+    for observer in observers:
+        observer(peer, news)
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -164,3 +164,7 @@
         known = nodes[0].lookup('2')
         assert known is not None
         assert known.state is MemberState.LEAVING
+        # Connections for anti-entropy must not add up.
+        transport = kernels[1].find('transport', PeerTransport)
+        transport.close_unused(0)
+        assert not transport._connections  # noqa: SLF001  # no other view
--- /dev/null
+++ b/tests/membership/test_rules.py
@@ -0,0 +1,83 @@
+"""Rules that must hold at once, not only after quiet time."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+from savorystand.membership.member import MemberState
+from savorystand.membership.records import DEAD_KEEP_MS
+from tests.membership.fake_network import BASE_PORT
+from tests.membership.fake_network import FakeNetwork
+from tests.membership.fake_network import FakeNode
+
+
+def _network(size: int) -> FakeNetwork:
+    net = FakeNetwork(rng=random.Random(5))
+    for port in range(BASE_PORT, BASE_PORT + size):
+        net.start(port)
+    net.run(5000)
+    assert net.converged()
+    return net
+
+
+def _serving(node: FakeNode) -> list[int]:
+    return sorted(member.peer.port for member in node.records.serving('pool'))
+
+
+def test_restart_ends_the_earlier_process_at_once() -> None:
+    """Calls must not go to the node id of a process that was replaced."""
+    net = _network(4)
+    node = net.nodes[BASE_PORT]
+    old = net.nodes[BASE_PORT + 3].records.own
+    new = net.start(BASE_PORT + 3).records.own
+    node.members.merge(new)
+    known = node.records.lookup(old.peer.node_id)
+    assert known is not None
+    assert known.state is MemberState.DEAD
+    node.members.merge(replace(old, version=old.version + 1))
+    assert node.records.serving('pool').count(new) == 1
+    assert len(_serving(node)) == 4
+
+
+def test_suspected_members_serve_only_as_a_last_resort() -> None:
+    """A suspected target gets no work, but a pool is never left empty."""
+    net = _network(3)
+    node = net.nodes[BASE_PORT]
+    others = [member.peer.node_id for member in node.records.others()]
+    node.members.suspect(others[0])
+    assert len(_serving(node)) == 2
+    node.members.declare(state=MemberState.LEAVING, pool='pool')
+    node.members.suspect(others[1])
+    assert len(_serving(node)) == 2
+
+
+def test_indirect_probes_spare_a_member_behind_a_broken_link() -> None:
+    """One broken link between two nodes must not raise any suspicion."""
+    net = _network(6)
+    broken = {BASE_PORT, BASE_PORT + 1}
+    deliver = net.send
+    versions = net.truth()
+
+    def send(source: int, to: int, payload: bytes) -> None:
+        if {source, to} != broken:
+            deliver(source, to, payload)
+
+    net.send = send  # type: ignore[method-assign]
+    net.run(60000)
+    assert net.truth() == versions
+    assert net.converged()
+
+
+def test_dead_member_is_not_revived_and_forgotten_in_the_end() -> None:
+    """Stale gossip must not bring a target back; memory stays bounded."""
+    net = _network(3)
+    gone = net.nodes.pop(BASE_PORT + 2).records.own
+    net.run(15000)
+    node = net.nodes[BASE_PORT]
+    assert not node.members.merge(gone)
+    assert len(_serving(node)) == 2
+    net.clock.advance(DEAD_KEEP_MS)
+    net.run(100)
+    assert len(node.records) == 2
+    assert not node.members.merge(replace(gone, state=MemberState.DEAD))
