--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -21,6 +21,8 @@
 from savorystand.transport.server import ServerConnection
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from anyio.abc import ByteStream
     from anyio.abc import TaskGroup
     from anyio.abc import TaskStatus
@@ -125,6 +127,17 @@
         if conn is not None:
             conn.abort()
 
+    def close_unused(self, idle_ms: float) -> None:
+        """Close connections without calls and without traffic for so long.
+
+        Anti-entropy goes to random members: its connections would otherwise
+        add up to one for each member.
+        """
+        for peer, conn in list(self._connections.items()):
+            if conn.unused(idle_ms):
+                del self._connections[peer]
+                conn.abort()
+
     async def _connection(self, peer: PeerAddress) -> PeerConnection | None:
         conn = self._connections.get(peer)
         if conn is not None and conn.fresh():
