--- /dev/null
+++ b/tests/dispatch/test_attempts.py
@@ -0,0 +1,266 @@
+"""Failures: retry storms, duplicate runs, hedges without bound."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+import pytest
+from expression import Error
+from expression import Ok
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from policy_doubles import FakeDirectory
+from policy_doubles import let_tasks_run
+from policy_doubles import make_call
+from policy_doubles import make_member
+
+from savorystand.call import Answer
+from savorystand.clock import ManualClock
+from savorystand.dispatch.attempts import Attempts
+from savorystand.dispatch.inbound import Inbound
+from savorystand.gateway.contexts import ContextFactory
+from savorystand.gateway.contexts import Request
+from savorystand.kernel.kernel import Kernel
+from savorystand.lab.baseline import BaselineAdmission
+from savorystand.retry.executions import ExecutionLedger
+from savorystand.retry.policy import RetryPolicy
+from savorystand.routing.router import Choice
+from savorystand.routing.router import Router
+from savorystand.verdict import MayHaveRun
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from savorystand.call import Call
+    from savorystand.call import Outcome
+    from savorystand.transport.address import PeerAddress
+
+_LOST = Error(MayHaveRun(reason=Reason.CONNECTION_LOST))
+_ANSWER = Ok(Answer(status=200, headers=(), body=b'whole'))
+_DEPTH = 28
+_NAMES = tuple('abcdef')
+
+
+class _Node:
+    """A calling node; ``serve`` stands for its transport."""
+
+    def __init__(
+        self, serve: Callable[[PeerAddress, Call], Awaitable[Outcome]]
+    ) -> None:
+        self.kernel = Kernel()
+        self.clock = ManualClock()
+        members = [make_member(name) for name in _NAMES]
+        self.call = serve
+        self.kernel.register('clock', self.clock)
+        self.kernel.register('membership', FakeDirectory(members))
+        self.kernel.register('retry', RetryPolicy())
+        self.kernel.register('executions', ExecutionLedger())
+        self.kernel.register('admission', BaselineAdmission(clock=self.clock))
+        self.router = Router(kernel=self.kernel, rng=random.Random(3))
+        self.kernel.register('routing', self.router)
+        self.kernel.register('peers', self)
+        self.attempts = Attempts(kernel=self.kernel)
+
+    def learn_latency(self, ms: float) -> None:
+        """Let the router measure some calls, so that hedging can start."""
+        for number in range(60):
+            peer = make_member(_NAMES[number % 6]).peer
+            choice = Choice(peer=peer, reason='test')
+            self.router.begin(choice, make_call())
+            self.router.finish(
+                choice, make_call(), outcome=_ANSWER, elapsed_ms=ms
+            )
+
+
+class _Service:
+    """One service of a chain, with the node at its target."""
+
+    def __init__(self, depth: int, chain: _Chain) -> None:
+        self._depth = depth
+        self._chain = chain
+        self.node = _Node(self._call_below)
+        self.node.kernel.register('target', self)
+        self.inbound = Inbound(kernel=self.node.kernel)
+
+    async def send(self, call: Call, execution_id: str) -> Outcome:
+        """Run at the target, which calls the service below and fails."""
+        self._chain.executions[self._depth] += 1
+        if self._depth + 1 < _DEPTH:
+            await self._call_on(call, execution_id)
+        return Error(MayHaveRun(reason=Reason.TARGET_FAILED))
+
+    async def _call_on(self, call: Call, execution_id: str) -> None:
+        contexts = ContextFactory(kernel=self.node.kernel)
+        ledger = self.node.kernel.find('executions', ExecutionLedger)
+        request = Request(
+            method='GET', path='/', headers=(), body=b'', received_ms=0
+        )
+        execution = ledger.find(execution_id)
+        assert execution is not None
+        if not self._chain.passes_context(self._depth):
+            context = contexts.without_retries(request, call.route)
+            await self.node.attempts.run(
+                make_call(retries=context.retries_left)
+            )
+            return
+        context = contexts.inherited(request, call.route, execution)
+        outcome = await self.node.attempts.run(
+            make_call(retries=context.retries_left)
+        )
+        ledger.settle(
+            execution_id, returned=outcome.error.retries_left, failed=True
+        )
+
+    async def _call_below(self, peer: PeerAddress, call: Call) -> Outcome:
+        return await self._chain.serve(self._depth + 1, call)
+
+
+class _Chain:
+    """Services that call each other in turn; the deepest always fails."""
+
+    def __init__(
+        self, *, seed: int, lost_share: float, context_share: float
+    ) -> None:
+        self._random = random.Random(seed)
+        self._lost_share = lost_share
+        self._passing = [
+            self._random.random() < context_share for _ in range(_DEPTH)
+        ]
+        self.executions = [0 for _ in range(_DEPTH)]
+        self.services = [_Service(depth, self) for depth in range(_DEPTH)]
+        self.entry = _Node(self._enter)
+
+    def passes_context(self, depth: int) -> bool:
+        """Return True if the service hands on the context header."""
+        return self._passing[depth]
+
+    async def serve(self, depth: int, call: Call) -> Outcome:
+        """Serve a call at some depth; its outcome may be lost."""
+        outcome = await self.services[depth].inbound.serve(call)
+        if self._random.random() < self._lost_share:
+            return _LOST
+        return outcome
+
+    async def _enter(self, peer: PeerAddress, call: Call) -> Outcome:
+        return await self.serve(0, call)
+
+
+@settings(max_examples=30)
+@given(
+    seed=st.integers(0, 10000),
+    lost_share=st.sampled_from((0, 0.1, 0.5)),
+    context_share=st.sampled_from((0, 0.8, 1)),
+)
+def test_deep_chain_runs_the_deepest_service_at_most_three_times(
+    seed: int, lost_share: float, context_share: float
+) -> None:
+    """Retries at several hops must not multiply (P1)."""
+    chain = _Chain(
+        seed=seed, lost_share=lost_share, context_share=context_share
+    )
+    outcome = anyio.run(chain.entry.attempts.run, make_call())
+    assert isinstance(outcome.error, MayHaveRun)
+    assert max(chain.executions) <= 3
+    assert min(chain.executions) >= 1
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ('idempotent', 'most'), [(True, 400 * 1.1 + 10), (False, 400)]
+)
+async def test_total_failure_keeps_extra_attempts_in_bounds(
+    idempotent: bool, most: float
+) -> None:
+    """A dead pool must not get more than the allowed extra work."""
+    attempts = 0
+    hedges = 0
+
+    async def fail_late(peer: PeerAddress, call: Call) -> Outcome:
+        nonlocal attempts
+        attempts += 1
+        await node.clock.sleep(40)
+        return _LOST
+
+    node = _Node(fail_late)
+    node.learn_latency(10)
+    for _ in range(400):
+        before = attempts
+        call = make_call(
+            idempotent=idempotent, deadline_ms=node.clock.now() + 10000
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(node.attempts.run, call)
+            await let_tasks_run()
+            # Past the hedge's delay, before the first attempt fails.
+            node.clock.advance(30)
+            await let_tasks_run()
+            hedges += attempts - before - 1
+            for _ in range(4):
+                node.clock.advance(40)
+                await let_tasks_run()
+    assert attempts <= most
+    assert hedges <= 400 * 0.05
+    assert bool(hedges) == idempotent
+
+
+@pytest.mark.anyio
+async def test_hedge_answers_and_the_slow_attempt_is_cancelled() -> None:
+    """One slow target must not decide the latency of an idempotent call."""
+    peers: list[str] = []
+    cancelled: list[str] = []
+
+    async def first_hangs(peer: PeerAddress, call: Call) -> Outcome:
+        peers.append(peer.node_id)
+        if len(peers) > 1:
+            return _ANSWER
+        try:
+            await anyio.sleep_forever()
+        finally:
+            cancelled.append(peer.node_id)
+
+    node = _Node(first_hangs)
+    node.learn_latency(10)
+    for _ in range(20):
+        node.kernel.find('retry', RetryPolicy).budget('refill').record_fresh()
+    outcomes = []
+
+    async def run() -> None:
+        outcomes.append(await node.attempts.run(make_call()))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run)
+        await let_tasks_run()
+        node.clock.advance(50)
+    assert outcomes[0].ok.body == b'whole'
+    assert outcomes[0].ok.retries_left == 0
+    assert cancelled == peers[:1]
+    assert peers[0] != peers[1]
+
+
+@pytest.mark.anyio
+async def test_final_refusal_says_why_and_what_may_have_run() -> None:
+    """The lack of a further target must not hide the first refusal (P4)."""
+    answers: list[Outcome] = [
+        Error(NotRun(reason=Reason.OVERLOADED, retry_after_ms=700)),
+        Error(NotRun(reason=Reason.UNAVAILABLE)),
+    ]
+
+    async def refuse(peer: PeerAddress, call: Call) -> Outcome:
+        return answers[len(peer.node_id) - 1]
+
+    node = _Node(refuse)
+    directory = node.kernel.find('membership', FakeDirectory)
+    directory.listed = [make_member('a')]
+    outcome = await node.attempts.run(make_call())
+    assert outcome.error.reason is Reason.OVERLOADED
+    assert outcome.error.retry_after_ms == 700
+    answers[0] = _LOST
+    directory.listed = [make_member('a'), make_member('bb')]
+    outcome = await node.attempts.run(make_call())
+    assert isinstance(outcome.error, MayHaveRun)
--- a/tests/policy_doubles.py
+++ b/tests/policy_doubles.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from anyio.lowlevel import checkpoint
+
 from savorystand.call import Call
 from savorystand.call import CallContext
 from savorystand.call import Importance
@@ -10,6 +12,14 @@
 from savorystand.tables.route import Route
 from savorystand.transport.address import PeerAddress
 
+_TURNS = 12
+
+
+async def let_tasks_run() -> None:
+    """Give every task of a test enough turns to reach its next wait."""
+    for _ in range(_TURNS):
+        await checkpoint()
+
 
 def make_call(
     *,
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,170 @@
+"""Failures: work for slow or lost targets, needless trips between regions."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from policy_doubles import FakeDirectory
+from policy_doubles import make_call
+from policy_doubles import make_member
+
+from savorystand.call import Answer
+from savorystand.call import Importance
+from savorystand.call import TargetLoad
+from savorystand.clock import ManualClock
+from savorystand.kernel.kernel import Kernel
+from savorystand.routing.router import Choice
+from savorystand.routing.router import Router
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+
+if TYPE_CHECKING:
+    from savorystand.membership.member import Member
+
+_ANSWER = Ok(Answer(status=200, headers=(), body=b'12345'))
+_NOBODY = frozenset[str]()
+
+
+class _Caller:
+    """A router with its clock and directory, and a target model."""
+
+    def __init__(self, members: list[Member], *, domain: str = 'own') -> None:
+        self.clock = ManualClock()
+        self.directory = FakeDirectory(members, domain=domain)
+        self.lost: list[str] = []
+        kernel = Kernel()
+        kernel.register('clock', self.clock)
+        kernel.register('membership', self.directory)
+        self.router = Router(
+            kernel=kernel,
+            rng=random.Random(7),
+            on_failure=lambda peer: self.lost.append(peer.node_id),
+        )
+        self._ends: list[tuple[float, int, Choice]] = []
+
+    def pick(self, **fields: object) -> Choice | None:
+        fields.setdefault('deadline_ms', self.clock.now() + 10000)
+        return self.router.pick(make_call(**fields), _NOBODY)
+
+    def run(self, ms: int, service_ms: dict[str, float]) -> dict[str, int]:
+        """Call once a millisecond; return each target's share in permille."""
+        calls = dict.fromkeys(service_ms, 0)
+        for turn in range(ms):
+            self.clock.advance(1)
+            now = self.clock.now()
+            while self._ends and self._ends[0][0] <= now:
+                choice = heapq.heappop(self._ends)[2]
+                took_ms = service_ms[choice.peer.node_id]
+                self.router.finish(
+                    choice, make_call(), outcome=_ANSWER, elapsed_ms=took_ms
+                )
+            choice = self.pick()
+            assert choice is not None
+            self.router.begin(choice, make_call())
+            calls[choice.peer.node_id] += 1
+            took_ms = service_ms[choice.peer.node_id]
+            heapq.heappush(self._ends, (now + took_ms, turn, choice))
+        return {name: 1000 * count // ms for name, count in calls.items()}
+
+    def report(self, *node_ids: str, load: TargetLoad) -> None:
+        for node_id in node_ids:
+            member = self.directory.lookup(node_id)
+            assert member is not None
+            self.router.observe_load(member.peer, load)
+
+
+def test_slow_target_loses_share_and_regains_it() -> None:
+    """A slowed target must not keep its share, nor lose it for good."""
+    names = [f't{number}' for number in range(6)]
+    caller = _Caller([make_member(name) for name in names])
+    usual = dict.fromkeys(names, 10.0)
+    assert min(caller.run(2000, usual).values()) > 120
+    slowed = {**usual, 't0': 100.0}
+    caller.run(500, slowed)
+    assert caller.run(2000, slowed)['t0'] < 20
+    caller.run(5000, usual)
+    assert caller.run(2000, usual)['t0'] > 120
+
+
+def test_new_target_gets_its_share_in_steps() -> None:
+    """A cold target must not get a full share at once."""
+    names = [f't{number}' for number in range(6)]
+    usual = dict.fromkeys(names, 10.0)
+    caller = _Caller([make_member(name) for name in names[:5]])
+    caller.run(100, usual)
+    caller.directory.listed.append(make_member('t5'))
+    shares = [caller.run(1000, usual)['t5'] for _ in range(6)]
+    assert shares[0] < 50
+    assert shares[0] < shares[2] < shares[5]
+    assert shares[5] > 120
+
+
+def test_nearer_targets_come_first_while_they_have_room() -> None:
+    """Traffic between regions costs 40 ms and money, only need allows it."""
+    caller = _Caller(
+        [
+            make_member('own', domain='a'),
+            make_member('near', domain='b'),
+            make_member('far', domain='c', region='other'),
+        ],
+        domain='a',
+    )
+    busy = TargetLoad(in_flight=9, limit=9)
+
+    def picked(left_ms: float = 10000) -> str | None:
+        choice = caller.pick(deadline_ms=caller.clock.now() + left_ms)
+        return choice and choice.peer.node_id
+
+    assert {picked() for _ in range(50)} == {'own'}
+    caller.report('own', load=busy)
+    assert {picked() for _ in range(50)} == {'near'}
+    caller.report('near', load=busy)
+    assert {picked() for _ in range(50)} == {'far'}
+    assert 'far' not in {picked(39) for _ in range(50)}
+    caller.clock.advance(500)
+    caller.report('own', 'near', load=TargetLoad(in_flight=1, limit=9))
+    assert {picked() for _ in range(50)} == {'own'}
+    far = caller.directory.lookup('far')
+    assert far is not None
+    choice = Choice(peer=far.peer, reason='test')
+    caller.router.begin(choice, make_call(body=b'123'))
+    caller.router.finish(choice, make_call(), outcome=_ANSWER, elapsed_ms=50)
+    assert caller.router.cross_region_bytes() == 8
+
+
+def test_lost_peer_is_avoided_while_another_is_left() -> None:
+    """A peer that cannot be reached must not cost more calls a connect."""
+    caller = _Caller([make_member('a'), make_member('b')])
+    choice = caller.pick()
+    assert choice is not None
+    lost = Error(NotRun(reason=Reason.CONNECTION_LOST))
+    caller.router.begin(choice, make_call())
+    caller.router.finish(choice, make_call(), outcome=lost, elapsed_ms=1)
+    assert caller.lost == [choice.peer.node_id]
+    others = {caller.pick().peer.node_id for _ in range(300)}
+    assert others == {'a', 'b'} - {choice.peer.node_id}
+    caller.directory.listed = [caller.directory.lookup(choice.peer.node_id)]
+    assert caller.pick() is not None
+
+
+def test_sheds_at_the_source_only_on_fresh_reports_of_all() -> None:
+    """Doomed calls must not load the network, nor old reports shut a pool."""
+    caller = _Caller([make_member('a'), make_member('b')])
+    caller.pick()
+    high = TargetLoad(admitted_rank=Importance.HIGH)
+
+    def refused(importance: Importance = Importance.NORMAL) -> int:
+        call = make_call(importance=importance)
+        return sum(caller.router.shed(call) is not None for _ in range(1000))
+
+    caller.report('a', load=high)
+    assert refused() == 0
+    caller.report('b', load=high)
+    assert 950 < refused() < 1000
+    assert refused(Importance.HIGH) == 0
+    caller.clock.advance(500)
+    assert refused() == 0
