Keep the limit from following noise and slow targets

Trials with 13 slots and exponential service times left a target that had slowed tenfold at a third of its limit: windows of five answers were too noisy, the minimum of a fast average lay at half of the mean, and the first answers after a cut are the quick ones. Windows now have 20 answers, the minimum is taken over blocks of 50, answers are ignored while a cut settles, and a cut that does not help is followed by a pause.

--- a/src/savorystand/admission/limit.py
+++ b/src/savorystand/admission/limit.py
@@ -10,16 +10,28 @@
     from savorystand.clock import Clock
 
 # A window closes after this time once it has enough samples, or later with
-# what it has, so that the limit moves several times a second.
+# what it has. With exponential service times the mean of 20 samples is off by
+# a fifth; with five, trials on a slowed target of 13 slots often went wrong
+# and left it at a third of its limit.
 _WINDOW_MS = 100
-_WINDOW_MAX_MS = 400
-_WINDOW_SAMPLES = 5
-# Service times up to this ratio to the long-run minimum count as unloaded.
-_TOLERANCE = 1.5
+_WINDOW_MAX_MS = 900
+_WINDOW_SAMPLES = 20
+# Service times up to this ratio to the long-run minimum count as unloaded; the
+# minimum itself lies up to a third below the mean by chance.
+_TOLERANCE = 2
+# Answers within so many service times of a change are ignored: the first ones
+# from under the new limit are the quick ones and would flatter it.
+_SETTLING = 2
 _MAX_CUT = 0.5
 _REFUSAL_CUT = 0.7
 # Ten windows raise the limit from its least to all slots.
 _RAISE_FRACTION = 0.1
+# Pause after a cut that did not help, doubled while cuts keep failing: each
+# trial costs part of the target's work for a window.
+_PAUSE_MS = 4000
+_PAUSE_MAX_MS = 32000
+# Part of the way that the accepted ratio follows a lower one at each window.
+_ACCEPTED_FALL = 0.3
 # Share of the slots in the steps after a start of the target.
 _START_SHARES = (0.25, 0.5, 0.75)
 _START_STEP_MS = 1000
@@ -45,11 +57,14 @@
 
     __slots__ = (
         '_accepted',
-        '_changed_ms',
+        '_elapsed_ms',
+        '_settled_ms',
         '_clock',
         '_level',
+        '_pause_ms',
         '_peak',
         '_ratios',
+        '_rest_until_ms',
         '_refusals',
         '_slots',
         '_start_ms',
@@ -64,12 +79,15 @@
         self._level = float(1)
         self._start_ms = clock.now()
         self._window_ms = self._start_ms
-        self._changed_ms = self._start_ms
+        self._settled_ms = self._start_ms
+        self._elapsed_ms = float(0)
         self._ratios: list[float] = []
         self._refusals = 0
         self._peak = 0
         self._trial: _Trial | None = None
         self._accepted = float(1)
+        self._pause_ms = float(_PAUSE_MS)
+        self._rest_until_ms = self._start_ms
 
     def resize(self, slots: int) -> None:
         """Set the upper bound; the limit starts from it."""
@@ -99,15 +117,14 @@
         return max(1, int(min(self._level, cap)))
 
     def record(
-        self, ratio: float, *, started_ms: float, in_flight: int
+        self, ratio: float, *, elapsed_ms: float, in_flight: int
     ) -> None:
-        """Record an answer: its service time over the long-run minimum.
-
-        Only calls that started under the present limit tell its effect.
-        """
+        """Record an answer: its service time over the long-run minimum."""
+        if self._clock.now() < self._settled_ms:
+            return
         self._peak = max(self._peak, in_flight)
-        if started_ms >= self._changed_ms:
-            self._ratios.append(ratio)
+        self._ratios.append(ratio)
+        self._elapsed_ms += elapsed_ms
         self._close_window()
 
     def record_refusal(self) -> None:
@@ -124,10 +141,11 @@
             return
         if self._refusals:
             self._trial = None
-            self._change(self._level * _REFUSAL_CUT)
+            self._level = max(1, self._level * _REFUSAL_CUT)
         elif self._ratios:
             self._adapt(sum(self._ratios) / len(self._ratios))
-        self._window_ms = now
+        self._elapsed_ms = float(0)
+        self._window_ms = max(now, self._settled_ms)
         self._ratios.clear()
         self._refusals = 0
         self._peak = 0
@@ -135,24 +153,32 @@
     def _adapt(self, ratio: float) -> None:
         if self._trial is not None:
             self._judge(self._trial, ratio)
-        self._accepted = max(1, min(self._accepted, ratio))
+        if ratio < self._accepted:
+            fall = _ACCEPTED_FALL * (ratio - self._accepted)
+            self._accepted = max(1, self._accepted + fall)
         gradient = _TOLERANCE * self._accepted / max(ratio, 1)
-        if gradient < 1 and self._level > 1:
+        if gradient >= 1:
+            self._raise()
+        elif self._level > 1 and self._clock.now() >= self._rest_until_ms:
             self._trial = _Trial(level=self._level, ratio=ratio)
-            self._change(self._level * max(_MAX_CUT, gradient))
-        elif self._peak * 2 >= self.current():
-            raised = self._level + max(1, self._slots * _RAISE_FRACTION)
-            self._level = min(self._slots, raised)
+            self._level = max(1, self._level * max(_MAX_CUT, gradient))
+            settling_ms = _SETTLING * self._elapsed_ms / len(self._ratios)
+            self._settled_ms = self._clock.now() + settling_ms
+
+    def _raise(self) -> None:
+        if self._peak * 2 >= self.current():
+            step = max(1, self._slots * _RAISE_FRACTION)
+            self._level = min(self._slots, self._level + step)
 
     def _judge(self, trial: _Trial, ratio: float) -> None:
         self._trial = None
         # Where concurrency causes the delay, both fall in proportion; half of
         # that fall decides.
         kept = (1 + self._level / trial.level) / 2
-        if ratio > trial.ratio * kept:
-            self._accepted = ratio
-            self._level = trial.level
-
-    def _change(self, level: float) -> None:
-        self._level = max(1, level)
-        self._changed_ms = self._clock.now()
+        if ratio <= trial.ratio * kept:
+            self._pause_ms = _PAUSE_MS
+            return
+        self._accepted = max(ratio, trial.ratio)
+        self._level = trial.level
+        self._rest_until_ms = self._clock.now() + self._pause_ms
+        self._pause_ms = min(_PAUSE_MAX_MS, self._pause_ms * 2)
--- a/src/savorystand/admission/queue.py
+++ b/src/savorystand/admission/queue.py
@@ -169,7 +169,7 @@
         elif whole:
             self._limit.record(
                 self._times.record(time_class, elapsed_ms),
-                started_ms=permit.admitted_ms,
+                elapsed_ms=elapsed_ms,
                 in_flight=in_flight,
             )
         else:
--- a/src/savorystand/admission/service_times.py
+++ b/src/savorystand/admission/service_times.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import TypeAlias
@@ -20,9 +21,10 @@
 _BITS_PER_CLASS = 4
 # Weight of one sample: a change shows after about ten calls.
 _SAMPLE_WEIGHT = 0.1
-# The long-run minimum ignores the first samples, which carry cold starts, and
-# doubles within a minute so that it follows a lastingly slower target.
-_MIN_SAMPLES = 8
+# The long-run minimum is taken over the means of so many samples: the least of
+# single ones, or of a fast average, is far below the usual time of an unloaded
+# target. It doubles within a minute to follow a lastingly slower target.
+_BLOCK_SAMPLES = 50
 _FLOOR_DOUBLING_MS = 60000
 # Calls of a class this many times slower than the pool's median are long.
 _LONG_FACTOR = 5
@@ -37,21 +39,23 @@
 class _ClassTimes:
     mean_ms: float
     sampled_ms: float
-    floor_ms: float = 0
-    samples: int = 0
+    floor_ms: float
+    block_ms: float = 0
+    block_samples: int = 0
     weight: float = 0
 
     def add(self, elapsed_ms: float, now: float) -> None:
         self.mean_ms += _SAMPLE_WEIGHT * (elapsed_ms - self.mean_ms)
-        self.samples += 1
         self.weight += 1
-        if self.samples < _MIN_SAMPLES:
-            self.floor_ms = self.mean_ms
-        else:
-            idle_ms = now - self.sampled_ms
-            raised = self.floor_ms * (1 + idle_ms / _FLOOR_DOUBLING_MS)
-            self.floor_ms = min(self.mean_ms, raised)
+        self.block_ms += elapsed_ms
+        self.block_samples += 1
+        idle_ms = now - self.sampled_ms
+        self.floor_ms *= 1 + idle_ms / _FLOOR_DOUBLING_MS
         self.sampled_ms = now
+        if self.block_samples == _BLOCK_SAMPLES:
+            self.floor_ms = min(self.floor_ms, self.block_ms / _BLOCK_SAMPLES)
+            self.block_samples = 0
+            self.block_ms = float(0)
 
 
 @final
@@ -105,18 +109,23 @@
     def record(self, time_class: TimeClass, elapsed_ms: float) -> float:
         """Record an answered call; return its ratio to the long-run minimum.
 
-        The ratio is at least about 1 and comparable between classes.
+        The ratio is about 1 without load, comparable between classes, and
+        1 until the minimum is known.
         """
         now = self._clock.now()
         times = self._times.get(time_class)
         if times is None:
-            times = _ClassTimes(mean_ms=elapsed_ms, sampled_ms=now)
+            times = _ClassTimes(
+                mean_ms=elapsed_ms,
+                sampled_ms=now,
+                floor_ms=math.inf,
+            )
             self._times[time_class] = times
         times.add(elapsed_ms, now)
         if now - self._refreshed_ms >= _MEDIAN_REFRESH_MS:
             self._refresh(now)
         self._record_mean(elapsed_ms, is_long=self._is_long(times))
-        if times.floor_ms <= 0:
+        if not 0 < times.floor_ms < math.inf:
             return 1
         return elapsed_ms / times.floor_ms
 
--- a/tests/admission/test_admission_queue.py
+++ b/tests/admission/test_admission_queue.py
@@ -255,16 +255,16 @@
     assert limit.current() == 90
 
     def run(ratio_at: dict[str, float]) -> None:
-        for _ in range(100):
-            clock.advance(10)
+        for _ in range(200):
+            clock.advance(5)
             ratio = ratio_at['fixed'] + ratio_at['each'] * limit.current()
-            limit.record(
-                ratio, started_ms=clock.now(), in_flight=limit.current()
-            )
+            limit.record(ratio, elapsed_ms=10, in_flight=limit.current())
 
     run({'fixed': 0, 'each': 0.1})
     assert limit.current() < 30
     run({'fixed': 1, 'each': 0})
+    assert limit.current() > 80
+    run({'fixed': 1, 'each': 0})
     assert limit.current() == 90
     run({'fixed': 10, 'each': 0})
     assert limit.current() == 90
