--- a/src/savorystand/routing/route_times.py
+++ b/src/savorystand/routing/route_times.py
@@ -40,7 +40,7 @@
         above = math.log(elapsed_ms) > self._log_p95
         self._log_p95 += _STEP * (_PERCENTILE - (not above))
 
-    def record_cancelled(self, elapsed_ms: float) -> None:
+    def record_unfinished(self, elapsed_ms: float) -> None:
         """Record an attempt that would have taken longer than this.
 
         Otherwise hedging would hide the slow attempts it cancels, and the
@@ -52,6 +52,10 @@
         ):
             self._log_p95 += _STEP * _PERCENTILE
 
+    def ratio(self, elapsed_ms: float) -> float:
+        """Return a latency over the mean, or 0 before the mean is known."""
+        return elapsed_ms / self.mean_ms if self.mean_ms else 0
+
     def p95_ms(self) -> float | None:
         """Return the 95th percentile, or None before it is known."""
         if self.samples < _MIN_SAMPLES:
--- a/src/savorystand/routing/router.py
+++ b/src/savorystand/routing/router.py
@@ -39,6 +39,7 @@
 _NEUTRAL = frozenset(
     (
         Reason.CANCELLED,
+        Reason.DEADLINE,
         Reason.IN_PROGRESS,
         Reason.KEY_REQUIRED,
         Reason.KEY_REUSED,
@@ -174,18 +175,13 @@
         stats.in_flight = max(0, stats.in_flight - 1)
         times = view.route(call.route.name)
         now = self._clock.now()
+        if outcome is None or outcome.is_error():
+            times.record_unfinished(elapsed_ms)
+            stats.record_unfinished(times.ratio(elapsed_ms), now)
         match outcome:
-            case None:
-                times.record_cancelled(elapsed_ms)
-                # It would have taken longer, so only a high ratio counts.
-                if (
-                    times.mean_ms
-                    and elapsed_ms / times.mean_ms > stats.slowness
-                ):
-                    stats.record_latency(elapsed_ms / times.mean_ms, now)
             case Result(tag='ok', ok=answer):
                 times.record(elapsed_ms)
-                stats.record_latency(elapsed_ms / times.mean_ms, now)
+                stats.record_latency(times.ratio(elapsed_ms), now)
                 stats.record_result(failed=False, now=now)
                 self._count_bytes(choice.peer, len(answer.body))
             case Result(error=refusal) if refusal.reason in _AVOIDED:
--- a/src/savorystand/routing/target_stats.py
+++ b/src/savorystand/routing/target_stats.py
@@ -68,6 +68,14 @@
         self.slowness += weight * (ratio - self.slowness)
         self.sampled_ms = now
 
+    def record_unfinished(self, ratio: float, now: float) -> None:
+        """Record an attempt without answer, which would have taken longer.
+
+        A quick failure says nothing about latency and is ignored.
+        """
+        if ratio > self.slowness:
+            self.record_latency(ratio, now)
+
     def record_result(self, *, failed: bool, now: float) -> None:
         """Record whether an attempt was refused or lost."""
         self.failures += _FAILURE_WEIGHT * (failed - self.failures)
--- a/tests/admission/test_admission_queue.py
+++ b/tests/admission/test_admission_queue.py
@@ -230,6 +230,39 @@
     assert ended == [('7', Reason.OVERLOADED, 100)]
 
 
+@pytest.mark.anyio
+async def test_refuses_what_cannot_finish_before_its_deadline() -> None:
+    """Slots must not go to calls whose callers will have given up."""
+    clock = ManualClock()
+    queue = AdmissionQueue(clock=clock)
+    ended = []
+
+    async def run(left_ms: int) -> None:
+        call = make_call(deadline_ms=clock.now() + left_ms)
+        admitted = await queue.admit(call)
+        if admitted.is_error():
+            ended.append((left_ms, admitted.error.reason))
+            return
+        await clock.sleep(100)
+        queue.release(admitted.ok, whole=True)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run, 1000)
+        await let_tasks_run()
+        clock.advance(100)
+        await let_tasks_run()
+        for left_ms in (99, 1000, 199, 230):
+            tasks.start_soon(run, left_ms)
+        await let_tasks_run()
+        assert ended == [(99, Reason.DEADLINE), (199, Reason.OVERLOADED)]
+        # The running call takes longer than expected, which makes it too
+        # late for the one that waits.
+        clock.advance(140)
+        await let_tasks_run()
+        assert ended[2:] == [(230, Reason.DEADLINE)]
+    assert queue.in_progress() == 0
+
+
 @pytest.mark.anyio
 async def test_draining_refuses_only_new_calls() -> None:
     """A leaving target must get no new work although peers still send."""
--- a/tests/dispatch/test_attempts.py
+++ b/tests/dispatch/test_attempts.py
@@ -168,6 +168,9 @@
     assert isinstance(outcome.error, MayHaveRun)
     assert max(chain.executions) <= 3
     assert min(chain.executions) >= 1
+    if lost_share == 0 and context_share == 1:
+        # Only the hop nearest to the failure retries.
+        assert chain.executions == [1 for _ in range(_DEPTH - 1)] + [2]
 
 
 @pytest.mark.anyio
@@ -188,8 +191,9 @@
         return _LOST
 
     node = _Node(fail_late)
-    node.learn_latency(10)
     for _ in range(400):
+        # Failures raise the percentile; hedges are to be wanted throughout.
+        node.learn_latency(10)
         before = attempts
         call = make_call(
             idempotent=idempotent, deadline_ms=node.clock.now() + 10000
