Take load reports from answers of the own target too

Calls to the own target use no connection, so that the router never saw its load. Calls shed at the source no longer earn retry tokens, as they add no work that the fraction could refer to.

--- a/src/savorystand/dispatch/attempts.py
+++ b/src/savorystand/dispatch/attempts.py
@@ -38,11 +38,12 @@
     async def run(self, call: Call) -> Outcome:
         """Return the answer of a target or the refusal that ends the call."""
         policy = self._kernel.find('retry', RetryPolicy)
-        policy.budget(call.route.pool).record_fresh()
         granted = policy.granted(call.context.retries_left)
         shed = self._kernel.find('routing', Router).shed(call)
         if shed is not None:
             return Error(replace(shed, retries_left=granted))
+        # A call that is not sent on earns the pool no retries.
+        policy.budget(call.route.pool).record_fresh()
         spending = Spending(policy=policy, retries=granted)
         while True:
             outcome = await self._attempt_next(call, spending)
--- a/src/savorystand/routing/router.py
+++ b/src/savorystand/routing/router.py
@@ -183,6 +183,9 @@
                 times.record(elapsed_ms)
                 stats.record_latency(times.ratio(elapsed_ms), now)
                 stats.record_result(failed=False, now=now)
+                # Reports of the own target come by no connection.
+                if answer.load.limit:
+                    view.observe_load(choice.peer, answer.load, now)
                 self._count_bytes(choice.peer, len(answer.body))
             case Result(error=refusal) if refusal.reason in _AVOIDED:
                 stats.avoid(now)
