--- a/src/savorystand/admission/queue.py
+++ b/src/savorystand/admission/queue.py
@@ -11,6 +11,7 @@
 from expression import Ok
 from expression import Result
 
+from savorystand.admission.closing import Closing
 from savorystand.admission.forecast import Forecast
 from savorystand.admission.limit import ConcurrencyLimit
 from savorystand.admission.service_times import Estimate
@@ -51,7 +52,7 @@
 
     __slots__ = (
         '_clock',
-        '_closes_ms',
+        '_closing',
         '_forecast',
         '_limit',
         '_order',
@@ -75,7 +76,7 @@
             waiting=self._waiting,
         )
         self._order = itertools.count()
-        self._closes_ms: float | None = None
+        self._closing = Closing(clock=clock)
 
     def set_slots(self, slots: int) -> None:
         """Set the slots of the target, from the pools table.
@@ -87,19 +88,21 @@
 
     def open_to_new_work(self) -> None:
         """Take new work, in steps: the target has started or returned."""
-        self._closes_ms = None
+        self._closing.reopen()
         self._limit.restart()
 
     def drain_after(self, ms: float) -> None:
-        """Refuse new work from ``ms`` milliseconds on.
+        """Start no work from ``ms`` milliseconds on.
 
-        Calls that were queued before still run, as peers count on them.
+        Calls that still wait then are refused, since a leaving target gets
+        nothing new after the limit; their callers turn to another target.
         """
-        self._closes_ms = self._clock.now() + ms
+        self._closing.close_after(ms)
 
     def close_to_new_work(self) -> None:
         """Refuse new work from now on."""
         self.drain_after(0)
+        self._grant()
 
     def load(self) -> TargetLoad:
         """Return the load for the reports to callers."""
@@ -120,7 +123,7 @@
     async def admit(self, call: Call) -> Result[Permit, NotRun]:
         """Wait for a slot while the call can still meet its deadline."""
         now = self._clock.now()
-        if self._closes_ms is not None and now >= self._closes_ms:
+        if self._closing.is_closed():
             return Error(NotRun(reason=Reason.DRAINING))
         self._grant()
         estimate = self._times.estimate(call)
@@ -169,7 +172,7 @@
         elif whole:
             self._limit.record(
                 self._times.record(time_class, elapsed_ms),
-                started_ms=permit.admitted_ms,
+                elapsed_ms=elapsed_ms,
                 in_flight=in_flight,
             )
         else:
@@ -218,6 +221,9 @@
             self._waiting.discard(waiter)
 
     def _grant(self) -> None:
+        if self._closing.is_closed():
+            for waiting in self._waiting.all():
+                self._drop(waiting, NotRun(reason=Reason.DRAINING))
         while len(self._waiting) and self._usage.has_free(is_long=False):
             with_long = self._usage.has_free(is_long=True)
             waiter = self._waiting.first(with_long=with_long)
--- a/src/savorystand/admission/waiting.py
+++ b/src/savorystand/admission/waiting.py
@@ -90,6 +90,11 @@
         """Return True if the call waits here."""
         return waiter.order in self._line(waiter)
 
+    def all(self) -> list[Waiter]:
+        """Return all waiting calls, for the closing of the queue."""
+        lines = self._lines.values()
+        return [waiter for line in lines for waiter in line.values()]
+
     def count(self, *, is_long: bool) -> int:
         """Return the number of waiting short or long calls."""
         return self._counts[is_long]
--- a/src/savorystand/dispatch/own_pool.py
+++ b/src/savorystand/dispatch/own_pool.py
@@ -15,6 +15,9 @@
 # Connection failures in a row after which the target counts as gone, until it
 # announces itself again.
 _MAX_FAILURES = 3
+# Peers get this long to stop sending; after it new work is refused, so that
+# a lost leave message does not matter.
+LEAVE_MS = 3000
 
 
 class OwnPool:
@@ -45,6 +48,8 @@
         """Take the target's word, or its silence, that it is leaving."""
         if self._serving:
             self._kernel.find('membership', Directory).leave()
+            admission = self._kernel.find('admission', AdmissionQueue)
+            admission.drain_after(LEAVE_MS)
         self._serving = False
         self._pool = ''
 
@@ -62,8 +67,10 @@
         row = tables.pool(self._pool)
         if row is None:
             return
-        self._kernel.find('admission', AdmissionQueue).set_slots(row.slots)
+        admission = self._kernel.find('admission', AdmissionQueue)
+        admission.set_slots(row.slots)
         if not self._serving:
+            admission.open_to_new_work()
             self._serving = True
             self._failures = 0
             self._kernel.find('membership', Directory).announce(self._pool)
--- a/src/savorystand/membership/directory.py
+++ b/src/savorystand/membership/directory.py
@@ -10,6 +10,7 @@
     from collections.abc import Iterable
 
     from savorystand.membership.member import Member
+    from savorystand.transport.address import PeerAddress
 
 
 @runtime_checkable
@@ -33,3 +34,11 @@
 
     def leave(self) -> None:
         """Say that the own target takes no new work from now on."""
+
+
+@runtime_checkable
+class FailureObserver(Protocol):
+    """Is told of peers to which a connection has failed."""
+
+    def observe_failure(self, peer: PeerAddress) -> None:
+        """Check a peer that could not be reached."""
--- a/src/savorystand/node/builder.py
+++ b/src/savorystand/node/builder.py
@@ -22,6 +22,7 @@
 from savorystand.gateway.server import HttpListener
 from savorystand.gateway.target_client import TargetClient
 from savorystand.kernel.kernel import Kernel
+from savorystand.membership.directory import FailureObserver
 from savorystand.membership.membership import Membership
 from savorystand.node.departure import Departure
 from savorystand.node.platform import platform_plan
@@ -100,7 +101,7 @@
             clock=kernel.find('clock', Clock),
         ),
         'retry': lambda kernel: RetryPolicy(),
-        'routing': lambda kernel: Router(kernel=kernel, rng=random.Random()),
+        'routing': _router,
     }
 
 
@@ -150,3 +151,17 @@
     endpoints = ReportEndpoints(kernel=kernel)
     endpoints.install()
     return endpoints
+
+
+def _router(kernel: Kernel) -> Router:
+    membership = kernel.find('membership', FailureObserver)
+    router = Router(
+        kernel=kernel,
+        rng=random.Random(),
+        on_failure=membership.observe_failure,
+    )
+    # Loads in answers reach the router with the outcome; those in refusals
+    # only come this way.
+    transport = kernel.find('transport', PeerTransport)
+    transport.on_load(router.observe_load)
+    return router
--- a/src/savorystand/node/departure.py
+++ b/src/savorystand/node/departure.py
@@ -6,6 +6,7 @@
 
 from savorystand.admission.queue import AdmissionQueue
 from savorystand.clock import Clock
+from savorystand.dispatch.own_pool import LEAVE_MS
 from savorystand.gateway.server import HttpListener
 from savorystand.kernel.service import Service
 from savorystand.membership.directory import Directory
@@ -13,9 +14,6 @@
 if TYPE_CHECKING:
     from savorystand.kernel.kernel import Kernel
 
-# Peers get this long to stop sending; after it new work is refused, so that
-# a lost leave message does not matter.
-LEAVE_MS = 3000
 _POLL_MS = 20
 
 
--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -21,8 +21,6 @@
 from savorystand.transport.server import ServerConnection
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from anyio.abc import ByteStream
     from anyio.abc import TaskGroup
     from anyio.abc import TaskStatus
--- a/src/savorystand/transport/pending.py
+++ b/src/savorystand/transport/pending.py
@@ -51,7 +51,10 @@
     __slots__ = ('_calls', '_on_load', '_streams')
 
     def __init__(self, *, on_load: Callable[[TargetLoad], None]) -> None:
-        """Pass the load reports in answers and refusals to ``on_load``."""
+        """Pass the load reports in refusals to ``on_load``.
+
+        Those in answers travel with the outcome.
+        """
         self._calls: dict[int, PendingCall] = {}
         self._streams = itertools.count(1)
         self._on_load = on_load
@@ -118,5 +121,4 @@
 
     def _finish(self, pending: PendingCall, assembly: BodyAssembly) -> None:
         answer = answer_from(assembly.start, assembly.whole())
-        self._on_load(answer.load)
         pending.finish(Ok(answer))
--- a/tests/admission/test_admission_queue.py
+++ b/tests/admission/test_admission_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import anyio
 import pytest
@@ -22,6 +23,7 @@
 from savorystand.call import Importance
 from savorystand.clock import ManualClock
 from savorystand.verdict import Reason
+from tests.policy_doubles import let_tasks_run
 from tests.policy_doubles import make_call
 
 _LONG_BODY = bytes(70000)
@@ -57,8 +59,8 @@
         """Let the queue learn a short route and a long one."""
         self.queue.set_slots(slots)
         for _ in range(10):
-            for body, elapsed in ((b'', 10), (b'', 10), (_LONG_BODY, 1000)):
-                self.arrive(rank=2, body=body, left_ms=60000, cancel=False)
+            for upload, elapsed in ((False, 10), (False, 10), (True, 1000)):
+                self.arrive(rank=2, upload=upload, left_ms=60000, cancel=False)
                 self.clock.advance(elapsed)
                 if self.running:
                     self.end(pick=0, whole=True, cancel_pick=None)
@@ -73,19 +75,32 @@
         self.loop.close()
 
     @rule(
-        rank=st.integers(0, 3),
-        body=st.sampled_from((b'', _LONG_BODY)),
-        left_ms=st.sampled_from((0, 900, 5000, 60000)),
-        cancel=st.booleans(),
+        burst=st.lists(
+            st.fixed_dictionaries(
+                {
+                    'rank': st.integers(0, 3),
+                    'upload': st.sampled_from((False, False, True)),
+                    'left_ms': st.sampled_from((5, 900, 5000, 60000)),
+                    'cancel': st.sampled_from((False, False, False, True)),
+                }
+            ),
+            min_size=1,
+            max_size=6,
+        )
     )
+    def arrive_all(self, burst: list[dict[str, Any]]) -> None:
+        """Let several calls arrive one after the other."""
+        for fields in burst:
+            self.arrive(**fields)
+
     def arrive(
-        self, rank: int, body: bytes, left_ms: int, cancel: bool
+        self, rank: int, upload: bool, left_ms: int, cancel: bool
     ) -> None:
         """Admit a call; maybe cancel it before its first step."""
-        route = 'upload' if body else 'lookup'
+        route = 'upload' if upload else 'lookup'
         call = make_call(
             route=route,
-            body=body,
+            body=_LONG_BODY if upload else b'',
             importance=Importance(rank),
             deadline_ms=self.clock.now() + left_ms,
         )
@@ -99,7 +114,7 @@
     @rule(
         pick=st.integers(0, 9),
         whole=st.booleans(),
-        cancel_pick=st.none() | st.integers(0, 9),
+        cancel_pick=st.none() | st.integers(0, 5),
     )
     def end(self, pick: int, whole: bool, cancel_pick: int | None) -> None:
         """End a call; maybe cancel a waiting one that may have got its slot."""
@@ -187,7 +202,7 @@
 
 
 AdmissionMachine.TestCase.settings = settings(
-    max_examples=60,
+    max_examples=100,
     stateful_step_count=40,
 )
 TestAdmission = AdmissionMachine.TestCase
@@ -208,13 +223,46 @@
         for number in range(16):
             rank = Importance.LOW if number in {3, 7} else Importance.HIGH
             tasks.start_soon(wait, str(number), rank)
-        await anyio.wait_all_tasks_blocked()
+        await let_tasks_run()
         tasks.start_soon(wait, 'refund', Importance.CRITICAL)
-        await anyio.wait_all_tasks_blocked()
+        await let_tasks_run()
         tasks.cancel_scope.cancel()
     assert ended == [('7', Reason.OVERLOADED, 100)]
 
 
+@pytest.mark.anyio
+async def test_refuses_what_cannot_finish_before_its_deadline() -> None:
+    """Slots must not go to calls whose callers will have given up."""
+    clock = ManualClock()
+    queue = AdmissionQueue(clock=clock)
+    ended = []
+
+    async def run(left_ms: int) -> None:
+        call = make_call(deadline_ms=clock.now() + left_ms)
+        admitted = await queue.admit(call)
+        if admitted.is_error():
+            ended.append((left_ms, admitted.error.reason))
+            return
+        await clock.sleep(100)
+        queue.release(admitted.ok, whole=True)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run, 1000)
+        await let_tasks_run()
+        clock.advance(100)
+        await let_tasks_run()
+        for left_ms in (99, 1000, 199, 230):
+            tasks.start_soon(run, left_ms)
+        await let_tasks_run()
+        assert ended == [(99, Reason.DEADLINE), (199, Reason.OVERLOADED)]
+        # The running call takes longer than expected, which makes it too
+        # late for the one that waits.
+        clock.advance(140)
+        await let_tasks_run()
+        assert ended[2:] == [(230, Reason.DEADLINE)]
+    assert queue.in_progress() == 0
+
+
 @pytest.mark.anyio
 async def test_draining_refuses_only_new_calls() -> None:
     """A leaving target must get no new work although peers still send."""
@@ -240,16 +288,16 @@
     assert limit.current() == 90
 
     def run(ratio_at: dict[str, float]) -> None:
-        for _ in range(100):
-            clock.advance(10)
+        for _ in range(200):
+            clock.advance(5)
             ratio = ratio_at['fixed'] + ratio_at['each'] * limit.current()
-            limit.record(
-                ratio, started_ms=clock.now(), in_flight=limit.current()
-            )
+            limit.record(ratio, elapsed_ms=10, in_flight=limit.current())
 
     run({'fixed': 0, 'each': 0.1})
     assert limit.current() < 30
     run({'fixed': 1, 'each': 0})
+    assert limit.current() > 80
+    run({'fixed': 1, 'each': 0})
     assert limit.current() == 90
     run({'fixed': 10, 'each': 0})
     assert limit.current() == 90
--- a/tests/reporting/nodes.py
+++ b/tests/reporting/nodes.py
@@ -23,6 +23,7 @@
     from collections.abc import AsyncIterator
 
     from savorystand.membership.member import Member
+    from savorystand.transport.address import PeerAddress
     from savorystand.wire.codec import Message
 
 ADMIN_KEY = 'k1'
@@ -47,6 +48,9 @@
     def members(self) -> tuple[Member, ...]:
         return self._members
 
+    def observe_failure(self, peer: PeerAddress) -> None:
+        """Ignore a failure."""
+
     def announce(self, pool: str) -> None:
         raise NotImplementedError
 
