Let calls pass leaving targets without spending a retry

Cause: a refusal for draining used up a retry, so that calls without any, such as a target's call without context, failed on a planned stop. Change: a target that was not reached or is leaving is passed over, up to three times a call; such refusals have run nothing.

--- a/src/savorystand/dispatch/attempts.py
+++ b/src/savorystand/dispatch/attempts.py
@@ -61,6 +61,10 @@
         while True:
             outcome = await self._attempt_next(call, spending)
             match outcome:
+                case Result(tag='error', error=refusal) if spending.move(
+                    refusal
+                ):
+                    continue
                 case Result(tag='error', error=refusal) if self._goes_on(
                     call, refusal, spending
                 ):
--- a/src/savorystand/dispatch/spending.py
+++ b/src/savorystand/dispatch/spending.py
@@ -20,16 +20,35 @@
     from savorystand.retry.policy import RetryPolicy
 
 
+# Targets of one call that may turn out to be leaving or out of reach.
+_MAX_MOVES = 3
+_UNTOUCHED = frozenset(
+    (
+        Reason.DRAINING,
+        Reason.TARGET_FAILED,
+        Reason.UNAVAILABLE,
+    )
+)
+
+
 @final
 class Spending:
     """Retry budget of a call, and what its attempts have left behind."""
 
-    __slots__ = ('_may_have_run', '_not_run', '_policy', 'retries', 'tried')
+    __slots__ = (
+        '_may_have_run',
+        '_moves',
+        '_not_run',
+        '_policy',
+        'retries',
+        'tried',
+    )
 
     def __init__(self, *, policy: RetryPolicy, retries: int) -> None:
         """Start with ``retries`` and no attempt made."""
         self._policy = policy
         self.retries = retries
+        self._moves = _MAX_MOVES
         self.tried: frozenset[str] = frozenset()
         self._may_have_run: MayHaveRun | None = None
         self._not_run: NotRun | None = None
@@ -40,6 +59,19 @@
         self.retries -= lent
         return lent
 
+    def move(self, refusal: Refusal) -> bool:
+        """Return True if another target may be tried without a retry.
+
+        A target that was not reached or is leaving has cost nothing, so that
+        calls without retries survive a planned stop.
+        """
+        match refusal:
+            case NotRun(from_below=False) if refusal.reason in _UNTOUCHED:
+                self._moves -= 1
+                return self._moves >= 0
+            case _:
+                return False
+
     def settle(self, outcome: Outcome, lent: int) -> Outcome:
         """Take back what an attempt has left of its loan."""
         match outcome:
--- a/tests/dispatch/test_attempts.py
+++ b/tests/dispatch/test_attempts.py
@@ -272,3 +272,24 @@
     directory.listed = [make_member('a'), make_member('bb')]
     outcome = await node.attempts.run(make_call())
     assert isinstance(outcome.error, MayHaveRun)
+
+
+def test_leaving_targets_cost_no_retry() -> None:
+    """A call without retries must survive targets that refuse as leaving."""
+    leaving = 3
+
+    async def serve(peer: PeerAddress, call: Call) -> Outcome:
+        refused.append(peer)
+        if len(refused) <= leaving:
+            return Error(NotRun(reason=Reason.DRAINING))
+        return _ANSWER
+
+    refused: list[PeerAddress] = []
+    call = make_call(idempotent=False, retries=0)
+    outcome = anyio.run(_Node(serve).attempts.run, call)
+    assert outcome == _ANSWER
+    refused.clear()
+    leaving = 6
+    outcome = anyio.run(_Node(serve).attempts.run, call)
+    assert outcome.error.reason is Reason.DRAINING
+    assert len(refused) == 4
