Choose ports outside the range of outgoing connections

Cause: a trial run failed with an address in use, since a node's outgoing connection or a later choice had taken the port. The crest was counted by arrival, which credits it with answers of the following trough. Change: draw ports below the system's outgoing range; count the crest's goodput by the time of the answer.

--- a/src/savorystand/lab/deployments/places.py
+++ b/src/savorystand/lab/deployments/places.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -17,6 +18,12 @@
 _DOMAIN_MS = 0.5
 _REGION_MS = 20
 _ADDRESSES = 5
+# Below the ports that the system gives to outgoing connections, which could
+# take a port between its choice here and its use by a node.
+_FIRST_PORT = 20000
+_LAST_PORT = 32000
+_PORT_TRIALS = 100
+_RANDOM = random.SystemRandom()
 
 
 @final
@@ -83,11 +90,24 @@
     """Return an address whose TCP and UDP ports were free just now.
 
     Raises:
-        OSError: no port is free.
+        OSError: no port was found.
     """
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-        sock.bind((host, 0))
-        return Address(host=host, port=sock.getsockname()[1])
+    for _ in range(_PORT_TRIALS):
+        port = _RANDOM.randrange(_FIRST_PORT, _LAST_PORT)
+        if _is_free(host, port):
+            return Address(host=host, port=port)
+    raise OSError(f'no free port on {host}')
+
+
+def _is_free(host: str, port: int) -> bool:
+    kinds = (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+    try:
+        for kind in kinds:
+            with socket.socket(socket.AF_INET, kind) as sock:
+                sock.bind((host, port))
+    except OSError:
+        return False
+    return True
 
 
 def _place(pool: str, worker: int, host: str) -> NodePlace:
--- a/src/savorystand/lab/experiments/crest.py
+++ b/src/savorystand/lab/experiments/crest.py
@@ -4,12 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from savorystand.clock import MS_PER_SECOND
 from savorystand.lab.callers.curves import Square
-from savorystand.lab.callers.curves import factor_at
 from savorystand.lab.experiments.experiment import Experiment
 from savorystand.lab.experiments.experiment import Measurement
 from savorystand.lab.experiments.experiment import goal
+from savorystand.lab.experiments.figures import finished_rate
 from savorystand.lab.experiments.figures import of_streams
 from savorystand.lab.experiments.figures import whole_share
 
@@ -26,7 +25,8 @@
 _HALF_MS = 2000
 _CURVE = Square(low=_LOW, high=_HIGH, half_ms=_HALF_MS)
 _DURATION_MS = 16000
-_CRESTS_MS = _DURATION_MS / 2
+# The slots fill and the first answers of a crest return within this time.
+_FILL_MS = 200
 _DEADLINE_MS = 1500
 _REFUNDS = 0.3
 _PRICES = 0.4
@@ -74,12 +74,14 @@
 
 
 def _crest_goodput(records: list[Record]) -> float:
-    good = sum(
-        record.whole and record.latency_ms <= _DEADLINE_MS
-        for record in records
-        if factor_at(_CURVE, record.intended_ms) > 1
-    )
-    return good * MS_PER_SECOND / _CRESTS_MS
+    # By the time of the answer: requests of a crest that are served in the
+    # trough after it do not count.
+    crests = range(_HALF_MS, _DURATION_MS, 2 * _HALF_MS)
+    rates = [
+        finished_rate(records, start + _FILL_MS, start + _HALF_MS)
+        for start in crests
+    ]
+    return sum(rates) / len(rates)
 
 
 EXPERIMENT = Experiment(
