Draw different ports and drop keys of replaced nodes

Callers and targets kept using keys of a node that had been replaced. Change: draw a node's ports without repetition; discard a stock of keys once its home is lost.

--- a/src/savorystand/lab/callers/accounting.py
+++ b/src/savorystand/lab/callers/accounting.py
@@ -18,6 +18,7 @@
 LOST = 'may-have-run/lost'
 UNREACHED = 'not-run/unreached'
 MAY_HAVE_RUN = 'may-have-run'
+HOME_LOST = 'may-have-run/home-lost'
 _SUCCESS = 200
 
 
--- a/src/savorystand/lab/callers/caller.py
+++ b/src/savorystand/lab/callers/caller.py
@@ -12,6 +12,7 @@
 from savorystand.clock import MS_PER_SECOND
 from savorystand.clock import Clock
 from savorystand.gateway import headers as names
+from savorystand.lab.callers.accounting import HOME_LOST
 from savorystand.lab.callers.accounting import LOST
 from savorystand.lab.callers.accounting import MAY_HAVE_RUN
 from savorystand.lab.callers.accounting import UNREACHED
@@ -35,11 +36,15 @@
 @final
 @dataclass(slots=True, kw_only=True)
 class _Operation:
-    """One operation under way; ``unresolved`` once it may have run."""
+    """One operation under way; ``unresolved`` once it may have run.
+
+    ``home`` is the index of the entry node that issued its first key.
+    """
 
     name: str
     stream: Stream
     intended_ms: float
+    home: int
     key: str
     own_key: bool
     body: bytes
@@ -97,6 +102,7 @@
             name=name,
             stream=stream,
             intended_ms=at_ms,
+            home=entry,
             key=f'own-{name}' if own_key else '',
             own_key=own_key,
             body=name.encode() + self._bodies[stream.name],
@@ -141,6 +147,8 @@
             verdict = UNREACHED
         except CLIENT_ERRORS:
             verdict = LOST
+        if verdict == HOME_LOST:
+            self._stocks[operation.home].discard()
         if verdict.startswith(MAY_HAVE_RUN):
             operation.unresolved = True
         waited_ms = self._clock.now() - started
--- a/src/savorystand/lab/deployments/places.py
+++ b/src/savorystand/lab/deployments/places.py
@@ -92,10 +92,22 @@
     Raises:
         OSError: no port was found.
     """
-    for _ in range(_PORT_TRIALS):
-        port = _RANDOM.randrange(_FIRST_PORT, _LAST_PORT)
+    return free_addresses(host, 1)[0]
+
+
+def free_addresses(host: str, number: int) -> list[Address]:
+    """Return addresses with different free ports.
+
+    Raises:
+        OSError: too few ports were found.
+    """
+    ports = range(_FIRST_PORT, _LAST_PORT)
+    found: list[Address] = []
+    for port in _RANDOM.sample(ports, _PORT_TRIALS):
         if _is_free(host, port):
-            return Address(host=host, port=port)
+            found.append(Address(host=host, port=port))
+        if len(found) == number:
+            return found
     raise OSError(f'no free port on {host}')
 
 
@@ -111,7 +123,7 @@
 
 
 def _place(pool: str, worker: int, host: str) -> NodePlace:
-    addresses = [free_address(host) for _ in range(_ADDRESSES)]
+    addresses = free_addresses(host, _ADDRESSES)
     return NodePlace(
         name=f'{pool}-{worker}',
         pool=pool,
--- a/src/savorystand/lab/targets/own_node.py
+++ b/src/savorystand/lab/targets/own_node.py
@@ -49,6 +49,7 @@
     async def leave(self) -> None:
         """Say that this target takes no new work."""
         self.serving = False
+        self._keys.clear()
         await self._post('/savorystand/leave')
 
     async def call(
@@ -72,6 +73,8 @@
             downstream.method, downstream.path, headers=tuple(own)
         )
         if answer.status != _SUCCESS:
+            # The keys may be those of a node that was replaced.
+            self._keys.clear()
             raise DownstreamFailedError(f'{downstream.path}: {answer.status}')
         if json.loads(answer.body)['operation'] != operation:
             raise DownstreamFailedError(f'{downstream.path}: foreign answer')
