Send forwarded requests on to targets and not to another home

Cause: the home of a key passed the mark of a forwarded call on to its attempts, so that the target's node refused it as a foreign key. The fuzz test did not see it: the runner logs faults of a run, and the test's own assertions inside a run were such faults. Change: the home clears the mark; the test collects faults and checks them after each step. Listeners name TCP, so that asyncio switches Nagle's algorithm off.

--- a/src/savorystand/deduplication/runner.py
+++ b/src/savorystand/deduplication/runner.py
@@ -114,6 +114,8 @@
 
     async def serve_home(self, call: Call) -> Outcome:
         """Serve a request that a peer forwarded, as the home of its key."""
+        # The attempts go to targets, not to homes.
+        call = replace(call, to_home=False)
         issued = parse_issued(call.key)
         if issued is None:
             mark = fingerprint(call)
--- a/src/savorystand/gateway/server.py
+++ b/src/savorystand/gateway/server.py
@@ -88,7 +88,12 @@
 
 
 def _bind(host: str, port: int) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    # With the protocol named, asyncio sets TCP_NODELAY on what it accepts.
+    sock = socket.socket(
+        socket.AF_INET,
+        socket.SOCK_STREAM,
+        socket.IPPROTO_TCP,
+    )
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         sock.bind((host, port))
--- a/tests/deduplication/test_runner.py
+++ b/tests/deduplication/test_runner.py
@@ -151,6 +151,7 @@
     keys: list[str] = field(default_factory=list)
     sent: set[str] = field(default_factory=set)
     lives: int = 0
+    faults: list[str] = field(default_factory=list)
 
     async def start(self) -> None:
         """Start three nodes; half of the keys are issued ones."""
@@ -198,8 +199,12 @@
 
     async def attempt(self, call: Call) -> Outcome:
         """Begin an attempt that a later step ends; two at once are a fault."""
+        # The runner survives faults of a run, so that they are kept here.
         started = self.estate.started
-        assert started.get(call.key, 0) == 0, 'the request runs twice'
+        if call.to_home:
+            self.estate.faults.append('the target is taken for the home')
+        if started.get(call.key, 0):
+            self.estate.faults.append('the request runs twice')
         started[call.key] = 1
         attempt = Attempt(key=call.key)
         self.estate.pending.append(attempt)
@@ -226,6 +231,7 @@
         mode = self.estate.links.get(self.slot, 'up')
         if not homes or mode == 'cut':
             return Error(NotRun(reason=Reason.CONNECTION_LOST))
+        assert call.to_home
         outcome = await homes[0].runner.serve_home(call)
         if mode == 'lossy':
             return Error(MayHaveRun(reason=Reason.CONNECTION_LOST))
@@ -327,6 +333,7 @@
         for step in steps:
             await _apply(estate, step)
             await _settle()
+            assert not estate.faults
         tasks.cancel_scope.cancel()
 
 
