Let the lab's editors read again after lost answers

Cause: the config experiment ended at the first read whose answer was lost. Change: reads and edits that had no effect are repeated.

--- a/src/savorystand/lab/deployments/publishing.py
+++ b/src/savorystand/lab/deployments/publishing.py
@@ -16,6 +16,7 @@
 from savorystand.tables.editor import TableEditor
 from savorystand.tables.edits import EditConflictError
 from savorystand.tables.edits import EditError
+from savorystand.tables.edits import EditUnavailableError
 from savorystand.tables.parser import parse_tables
 from savorystand.tables.repository import TableRepository
 
@@ -29,6 +30,10 @@
     from savorystand.tables.pool import Pool
 
 
+_READ_ROUNDS = 50
+_READ_PAUSE_MS = 20
+
+
 class LabEditor:
     """One operator's editor."""
 
@@ -76,7 +81,7 @@
                     pools,
                     newest.revision,
                 )
-            except EditConflictError:
+            except (EditConflictError, EditUnavailableError):
                 continue
             except EditError as exc:
                 raise EstateError(str(exc)) from exc
@@ -94,11 +99,14 @@
         return row.connections
 
     async def _newest(self) -> TablesDocument:
-        try:
-            revision = await self._repository.head_revision()
-            return await self._repository.fetch(revision)
-        except StoreError as exc:
-            raise EstateError(f'tables cannot be read: {exc}') from exc
+        # The stand-in loses answers to reads as well.
+        for _ in range(_READ_ROUNDS):
+            try:
+                revision = await self._repository.head_revision()
+                return await self._repository.fetch(revision)
+            except StoreError:
+                await self._clock.sleep(_READ_PAUSE_MS)
+        raise EstateError('the tables cannot be read')
 
 
 async def lose_answers(platform: Address, share: float, seed: int) -> None:
