Push the load of slow and shedding targets to their callers

Change: a target's node compares running calls with the long-run minimum of their class, and pushes its load on open connections when the target becomes slow or sheds, and while that lasts. Callers avoid it, do not probe it and return in steps.

--- a/src/savorystand/admission/queue.py
+++ b/src/savorystand/admission/queue.py
@@ -18,6 +18,7 @@
 from savorystand.admission.service_times import ServiceTimes
 from savorystand.admission.shedding import AdmittedRank
 from savorystand.admission.slots import Slots
+from savorystand.admission.slow_watch import SlowWatch
 from savorystand.admission.waiting import Waiter
 from savorystand.admission.waiting import WaitingCalls
 from savorystand.call import Call
@@ -60,6 +61,7 @@
         '_usage',
         '_times',
         '_waiting',
+        '_watch',
     )
 
     def __init__(self, *, clock: Clock) -> None:
@@ -77,6 +79,7 @@
         )
         self._order = itertools.count()
         self._closing = Closing(clock=clock)
+        self._watch = SlowWatch(clock=clock)
 
     def set_slots(self, slots: int) -> None:
         """Set the slots of the target, from the pools table.
@@ -114,6 +117,7 @@
             limit=self._limit.current(),
             admitted_rank=self._rank.current(),
             expected_ms=int(wait_ms + self._times.mean_ms(is_long=False)),
+            slow=self._watch.is_slow(),
         )
 
     def in_progress(self) -> int:
@@ -138,7 +142,7 @@
         if self._usage.has_free(is_long=estimate.is_long):
             self._rank.record(call.context.importance, 0)
             self._usage.take(is_long=estimate.is_long)
-            return Ok(_permit(call, estimate, now))
+            return Ok(_permit(call, estimate, now, self._watch))
         waiter = Waiter(
             call=call,
             estimate=estimate,
@@ -165,6 +169,7 @@
         """
         elapsed_ms = self._clock.now() - permit.admitted_ms
         in_flight = self._usage.in_use()
+        self._watch.end(id(permit), whole=whole)
         self._usage.give_back(is_long=permit.estimate.is_long)
         time_class = permit.estimate.time_class
         if refused:
@@ -208,7 +213,8 @@
             self._withdraw(waiter)
             raise
         if waiter.admitted:
-            return Ok(_permit(waiter.call, waiter.estimate, self._clock.now()))
+            now = self._clock.now()
+            return Ok(_permit(waiter.call, waiter.estimate, now, self._watch))
         if waiter.refusal is None:
             self._drop(waiter, _too_late())
         return Error(waiter.refusal or _too_late())
@@ -244,10 +250,17 @@
         waiter.refuse(refusal)
 
 
-def _permit(call: Call, estimate: Estimate, now: float) -> Permit:
-    return Permit(call=call, admitted_ms=now, estimate=estimate)
-
-
 def _too_late() -> NotRun:
     detail = 'queued until too late to finish'
     return NotRun(reason=Reason.DEADLINE, detail=detail)
+
+
+def _permit(
+    call: Call,
+    estimate: Estimate,
+    now: float,
+    watch: SlowWatch,
+) -> Permit:
+    permit = Permit(call=call, admitted_ms=now, estimate=estimate)
+    watch.begin(id(permit), estimate.usual_ms)
+    return permit
--- a/src/savorystand/admission/service_times.py
+++ b/src/savorystand/admission/service_times.py
@@ -61,11 +61,15 @@
 @final
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Estimate:
-    """What is expected of a call: its class, service time and kind."""
+    """What is expected of a call: its class, service time and kind.
+
+    ``usual_ms`` is the long-run minimum of its class, 0 if unknown.
+    """
 
     time_class: TimeClass
     service_ms: float
     is_long: bool
+    usual_ms: float = 0
 
 
 class ServiceTimes:
@@ -100,6 +104,7 @@
             time_class=time_class,
             service_ms=self._likely(times),
             is_long=self._is_long(times),
+            usual_ms=times.floor_ms if times.floor_ms < math.inf else 0,
         )
 
     def mean_ms(self, *, is_long: bool) -> float:
--- /dev/null
+++ b/src/savorystand/admission/slow_watch.py
@@ -0,0 +1,96 @@
+"""Notices that the own target has become much slower than usual."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import final
+
+if TYPE_CHECKING:
+    from savorystand.clock import Clock
+
+# A call this many times slower than usual is a sign of a slow target. With
+# exponential service times one call in twelve is, three in a row are one in
+# two thousand.
+_SLOW_FACTOR = 2.5
+_SIGNS = 3
+# A slow target gets next to no calls, so that nothing shows its recovery:
+# after this time it is taken for recovered, and callers return in steps. The
+# time doubles while it is found slow again.
+_HOLD_MS = 1000
+_MAX_HOLD_MS = 8000
+# Soon after a slow spell one sign is enough.
+_RELAPSE_MS = 10000
+
+
+@final
+@dataclass(slots=True, kw_only=True)
+class _Running:
+    started_ms: float
+    suspect_ms: float
+
+
+@final
+class SlowWatch:
+    """Compares calls with the long-run minimum of their class.
+
+    Running calls count as soon as they are late, since callers that hedge
+    cancel them before they end.
+    """
+
+    __slots__ = ('_clock', '_hold_ms', '_running', '_signs', '_until_ms')
+
+    def __init__(self, *, clock: Clock) -> None:
+        """Start with a target of usual speed."""
+        self._clock = clock
+        self._running: dict[int, _Running] = {}
+        self._signs = 0
+        self._hold_ms = float(0)
+        self._until_ms = float('-inf')
+
+    def begin(self, call_id: int, usual_ms: float) -> None:
+        """Watch a call that starts; 0 means that its usual time is unknown."""
+        if usual_ms <= 0:
+            return
+        self._running[call_id] = _Running(
+            started_ms=self._clock.now(),
+            suspect_ms=usual_ms * _SLOW_FACTOR,
+        )
+
+    def end(self, call_id: int, *, whole: bool) -> None:
+        """Stop watching a call; ``whole`` tells that it was answered."""
+        running = self._running.pop(call_id, None)
+        if running is None:
+            return
+        now = self._clock.now()
+        if now - running.started_ms >= running.suspect_ms:
+            self._sign(now)
+        elif whole:
+            self._signs = 0
+            self._until_ms = min(self._until_ms, now)
+
+    def is_slow(self) -> bool:
+        """Return True while the target is taken for slow."""
+        now = self._clock.now()
+        late = [
+            call_id
+            for call_id, running in self._running.items()
+            if now - running.started_ms >= running.suspect_ms
+        ]
+        for call_id in late:
+            # Each call is one sign, however long it takes.
+            del self._running[call_id]
+            self._sign(now)
+        return now < self._until_ms
+
+    def _sign(self, now: float) -> None:
+        if now < self._until_ms:
+            return
+        self._signs += 1
+        relapse = now - self._until_ms < _RELAPSE_MS
+        if self._signs < _SIGNS and not relapse:
+            return
+        hold_ms = self._hold_ms * 2 if relapse else _HOLD_MS
+        self._hold_ms = min(max(hold_ms, _HOLD_MS), _MAX_HOLD_MS)
+        self._until_ms = now + self._hold_ms
+        self._signs = 0
--- a/src/savorystand/call.py
+++ b/src/savorystand/call.py
@@ -74,7 +74,8 @@
     """Load of a target as its node reports it.
 
     ``admitted_rank`` is the lowest importance that is admitted at present,
-    ``expected_ms`` the expected queueing plus service time of a new call.
+    ``expected_ms`` the expected queueing plus service time of a new call, ``slow`` that the
+    target is much slower than usual.
     """
 
     in_flight: int = 0
@@ -82,6 +83,7 @@
     limit: int = 0
     admitted_rank: int = 0
     expected_ms: int = 0
+    slow: bool = False
 
 
 @final
--- a/src/savorystand/lab/experiments/editors.py
+++ b/src/savorystand/lab/experiments/editors.py
@@ -137,8 +137,9 @@
     async def _watch(self, name: str, address: Address) -> None:
         while True:
             status = await status_of(address)
-            revision = status.get('revision')
-            if isinstance(revision, int):
+            tables = status.get('tables')
+            if isinstance(tables, dict):
+                revision = int(tables['revision'])
                 now = self._estate.clock.now()
                 self._revisions.observe(name, revision, now)
             await self._estate.clock.sleep(_POLL_MS)
--- a/src/savorystand/node/builder.py
+++ b/src/savorystand/node/builder.py
@@ -13,6 +13,7 @@
 from savorystand.dispatch.attempts import Attempts
 from savorystand.dispatch.dispatcher import Dispatcher
 from savorystand.dispatch.inbound import Inbound
+from savorystand.dispatch.load_publisher import LoadPublisher
 from savorystand.dispatch.local import LocalOrRemote
 from savorystand.dispatch.own_pool import OwnPool
 from savorystand.gateway.admin import AdminEndpoints
@@ -123,6 +124,7 @@
         'own pool': lambda kernel: OwnPool(kernel=kernel),
         'inbound': lambda kernel: Inbound(kernel=kernel),
         'dispatcher': lambda kernel: Dispatcher(kernel=kernel),
+        'load publisher': lambda kernel: LoadPublisher(kernel=kernel),
     }
 
 
--- a/src/savorystand/routing/draw.py
+++ b/src/savorystand/routing/draw.py
@@ -60,7 +60,7 @@
             target
             for group in self.view.distances[:2]
             for target in group
-            if target.stats.is_poor(self.now) and self._usable(target)
+            if target.stats.needs_probe(self.now) and self._usable(target)
         ]
         if not poor:
             return None
--- a/src/savorystand/routing/pool_view.py
+++ b/src/savorystand/routing/pool_view.py
@@ -95,8 +95,7 @@
         stats = self.stats(peer)
         if stats is None:
             return
-        stats.load = load
-        stats.reported_ms = now
+        stats.take_report(load, now)
         if load.admitted_rank > 0:
             self._shed_ms = now
 
--- a/src/savorystand/routing/target_stats.py
+++ b/src/savorystand/routing/target_stats.py
@@ -34,6 +34,9 @@
 # Part of the limit above which calls are likely to queue.
 _BUSY = 0.8
 _AVOID_MS = MS_PER_SECOND
+# Outlasts some lost pushes of a slow target, which repeats them.
+_SLOW_REPORT_MS = 1500
+_SLOW_COST = 10
 # Chances to be taken when drawn, in the steps after a target's arrival.
 _ARRIVAL_SHARES = (0.1, 0.25, 0.5, 0.75)
 _ARRIVAL_STEP_MS = MS_PER_SECOND
@@ -99,12 +102,33 @@
             return False
         return now - self.reported_ms < REPORT_MS
 
+    def take_report(self, load: TargetLoad, now: float) -> None:
+        """Take a load report; after a slow spell calls return in steps."""
+        if self.says_slow(now) and not load.slow:
+            self.arrived_ms = now
+            self.slowness = 1
+        self.load = load
+        self.reported_ms = now
+
+    def says_slow(self, now: float) -> bool:
+        """Return True if a report in force says that the target is slow."""
+        return self.load.slow and now - self.reported_ms < _SLOW_REPORT_MS
+
     def is_poor(self, now: float) -> bool:
         """Return True if the target is slow or failing at present."""
+        if self.says_slow(now):
+            return True
         fade = math.exp(min(0, self.sampled_ms - now) / _FADE_MS)
         slow = 1 + (self.slowness - 1) * fade > _SLOW
         return slow or self.failures * fade > _FAILING
 
+    def needs_probe(self, now: float) -> bool:
+        """Return True if only a call can show whether the target recovered.
+
+        A node that says that its target is slow also says when it is over.
+        """
+        return self.is_poor(now) and not self.says_slow(now)
+
     def is_busy(self, importance: Importance, now: float) -> bool:
         """Return True if a new call is likely to queue or be refused."""
         used = self.in_flight
@@ -128,4 +152,6 @@
             queued_ms = max(0, self.load.expected_ms - mean_ms)
             latency_ms += weight * queued_ms
         cost = latency_ms * (self.in_flight + 1)
+        if self.says_slow(now):
+            cost *= _SLOW_COST
         return cost * (1 + _FAILURE_COST * self.failures * fade)
--- a/src/savorystand/transport/connection.py
+++ b/src/savorystand/transport/connection.py
@@ -193,16 +193,12 @@
                 self._accept(frame)
 
     def _accept(self, frame: Message) -> None:
-        if frame.answer is not None:
-            self._pending.begin_answer(frame.answer)
-        elif frame.chunk is not None:
-            self._pending.add_chunk(frame.chunk)
-        elif frame.refused is not None:
-            self._pending.refuse(frame.refused)
-        elif frame.pong is not None:
-            self._pong.set()
-        else:
+        if self._pending.accept(frame):
+            return
+        if frame.pong is None:
             self._on_control(frame)
+            return
+        self._pong.set()
 
     def _fail(self) -> None:
         self.closed = True
--- a/src/savorystand/transport/conversion.py
+++ b/src/savorystand/transport/conversion.py
@@ -10,6 +10,8 @@
 from savorystand.call import Headers
 from savorystand.call import Importance
 from savorystand.call import TargetLoad
+from savorystand.transport.loads import load_from
+from savorystand.transport.loads import wire_load
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
@@ -94,7 +96,7 @@
             body=body,
             last=len(body) == len(answer.body),
             retries_left=answer.retries_left,
-            load=_wire_load(answer.load),
+            load=wire_load(answer.load),
             body_size=len(answer.body),
         ),
     )
@@ -107,7 +109,7 @@
         headers=_headers_from(start.headers),
         body=body,
         retries_left=start.retries_left,
-        load=_load_from(start.load),
+        load=load_from(start.load),
     )
 
 
@@ -125,7 +127,7 @@
             detail=refusal.detail,
             retry_after_ms=int(refusal.retry_after_ms),
             retries_left=refusal.retries_left,
-            load=None if load is None else _wire_load(load),
+            load=None if load is None else wire_load(load),
             from_below=refusal.from_below,
         ),
     )
@@ -151,13 +153,6 @@
     )
 
 
-def load_from_refusal(refused: Message) -> TargetLoad | None:
-    """Return the load report of a refusal, if it carries one."""
-    if refused.load is None:
-        return None
-    return _load_from(refused.load)
-
-
 def _wire_headers(headers: Headers) -> list[Message]:
     return [ttypes.Header(name=name, value=text) for name, text in headers]
 
@@ -190,23 +185,3 @@
         retries_left=min(max(0, context.retries_left), _MAX_RETRIES),
         importance=importance,
     )
-
-
-def _wire_load(load: TargetLoad) -> Message:
-    return ttypes.Load(
-        in_flight=load.in_flight,
-        queued=load.queued,
-        limit=load.limit,
-        admitted_rank=load.admitted_rank,
-        expected_ms=load.expected_ms,
-    )
-
-
-def _load_from(load: Message) -> TargetLoad:
-    return TargetLoad(
-        in_flight=load.in_flight,
-        queued=load.queued,
-        limit=load.limit,
-        admitted_rank=load.admitted_rank,
-        expected_ms=load.expected_ms,
-    )
--- /dev/null
+++ b/src/savorystand/transport/loads.py
@@ -0,0 +1,52 @@
+"""Load reports on the wire."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorystand.call import TargetLoad
+from savorystand.wire.gen.wire import ttypes
+
+if TYPE_CHECKING:
+    from savorystand.wire.codec import Message
+
+
+def load_frame(load: TargetLoad) -> Message:
+    """Return the frame that reports the load unasked."""
+    return ttypes.Frame(load_push=ttypes.LoadPush(load=wire_load(load)))
+
+
+def load_from_push(push: Message) -> TargetLoad:
+    """Return the load that a peer reports unasked."""
+    return load_from(push.load)
+
+
+def load_from_refusal(refused: Message) -> TargetLoad | None:
+    """Return the load report of a refusal, if it carries one."""
+    if refused.load is None:
+        return None
+    return load_from(refused.load)
+
+
+def wire_load(load: TargetLoad) -> Message:
+    """Return the struct of a load report."""
+    return ttypes.Load(
+        in_flight=load.in_flight,
+        queued=load.queued,
+        limit=load.limit,
+        admitted_rank=load.admitted_rank,
+        expected_ms=load.expected_ms,
+        slow=load.slow,
+    )
+
+
+def load_from(load: Message) -> TargetLoad:
+    """Return the load report of a struct."""
+    return TargetLoad(
+        in_flight=load.in_flight,
+        queued=load.queued,
+        limit=load.limit,
+        admitted_rank=load.admitted_rank,
+        expected_ms=load.expected_ms,
+        slow=bool(load.slow),
+    )
--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -115,6 +115,10 @@
         """
         for conn in self._connections.values():
             conn.send(frame)
+        self.send_served(frame)
+
+    def send_served(self, frame: Message) -> None:
+        """Send a control frame on each connection that a peer has opened."""
         for served in self._serving:
             served.send(frame)
 
@@ -153,7 +157,8 @@
         stale = self._connections.pop(peer, None)
         if stale is not None:
             stale.abort()
-        stream = await self._connect(peer)
+        network = self._kernel.find('network', Network)
+        stream = await _connect(network, peer)
         conn = PeerConnection(
             clock=self._clock,
             on_load=lambda load: self._observers.load(peer, load),
@@ -163,15 +168,6 @@
         self._tasks.start_soon(conn.run, stream)
         return conn
 
-    async def _connect(self, peer: PeerAddress) -> ByteStream:
-        network = self._kernel.find('network', Network)
-        try:
-            with anyio.fail_after(_CONNECT_MS / MS_PER_SECOND):
-                return await network.connect(peer.host, peer.port)
-        except OSError as exc:
-            where = f'{peer.host}:{peer.port}'
-            raise ConnectionLostError(f'{where}: {exc}') from exc
-
     async def _serve(self, stream: ByteStream) -> None:
         conn = ServerConnection(
             clock=self._clock,
@@ -183,3 +179,12 @@
             await conn.run(stream)
         finally:
             self._serving.discard(conn)
+
+
+async def _connect(network: Network, peer: PeerAddress) -> ByteStream:
+    try:
+        with anyio.fail_after(_CONNECT_MS / MS_PER_SECOND):
+            return await network.connect(peer.host, peer.port)
+    except OSError as exc:
+        where = f'{peer.host}:{peer.port}'
+        raise ConnectionLostError(f'{where}: {exc}') from exc
--- a/src/savorystand/transport/pending.py
+++ b/src/savorystand/transport/pending.py
@@ -11,8 +11,9 @@
 
 from savorystand.transport.assembly import BodyAssembly
 from savorystand.transport.conversion import answer_from
-from savorystand.transport.conversion import load_from_refusal
 from savorystand.transport.conversion import refusal_from
+from savorystand.transport.loads import load_from_push
+from savorystand.transport.loads import load_from_refusal
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import Reason
 
@@ -51,7 +52,7 @@
     __slots__ = ('_calls', '_on_load', '_streams')
 
     def __init__(self, *, on_load: Callable[[TargetLoad], None]) -> None:
-        """Pass the load reports in refusals to ``on_load``.
+        """Pass load reports, but for those in answers, to ``on_load``.
 
         Those in answers travel with the outcome.
         """
@@ -74,6 +75,26 @@
         """Forget a call; frames that still arrive for it are dropped."""
         self._calls.pop(stream, None)
 
+    def accept(self, frame: Message) -> bool:
+        """Take a frame; return False if it concerns no call and no load.
+
+        Raises:
+            FrameError: the frame contradicts itself or those before it.
+        """
+        if frame.answer is not None:
+            self.begin_answer(frame.answer)
+            return True
+        if frame.chunk is not None:
+            self.add_chunk(frame.chunk)
+            return True
+        if frame.refused is not None:
+            self.refuse(frame.refused)
+            return True
+        if frame.load_push is None:
+            return False
+        self._on_load(load_from_push(frame.load_push))
+        return True
+
     def begin_answer(self, start: Message) -> None:
         """Take the opening frame of an answer.
 
--- a/src/savorystand/wire/gen/wire/ttypes.py
+++ b/src/savorystand/wire/gen/wire/ttypes.py
@@ -108,6 +108,7 @@
      - limit
      - admitted_rank
      - expected_ms
+     - slow
 
     """
 
@@ -117,15 +118,17 @@
         'limit',
         'admitted_rank',
         'expected_ms',
+        'slow',
     )
 
 
-    def __init__(self, in_flight=None, queued=None, limit=None, admitted_rank=None, expected_ms=None,):
+    def __init__(self, in_flight=None, queued=None, limit=None, admitted_rank=None, expected_ms=None, slow=None,):
         self.in_flight = in_flight
         self.queued = queued
         self.limit = limit
         self.admitted_rank = admitted_rank
         self.expected_ms = expected_ms
+        self.slow = slow
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -161,6 +164,11 @@
                     self.expected_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.slow = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -191,6 +199,10 @@
             oprot.writeFieldBegin('expected_ms', TType.I32, 5)
             oprot.writeI32(self.expected_ms)
             oprot.writeFieldEnd()
+        if self.slow is not None:
+            oprot.writeFieldBegin('slow', TType.BOOL, 6)
+            oprot.writeBool(self.slow)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -226,6 +238,77 @@
         return not (self == other)
 
 
+class LoadPush(object):
+    """
+    Attributes:
+     - load
+
+    """
+
+    __slots__ = (
+        'load',
+    )
+
+
+    def __init__(self, load=None,):
+        self.load = load
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.load = Load()
+                    self.load.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadPush')
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.STRUCT, 1)
+            self.load.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.load is None:
+            raise TProtocolException(message='Required field load is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class CallContext(object):
     """
     Attributes:
@@ -2105,6 +2188,7 @@
      - digest_pull
      - members_push
      - leaving
+     - load_push
 
     """
 
@@ -2122,10 +2206,11 @@
         'digest_pull',
         'members_push',
         'leaving',
+        'load_push',
     )
 
 
-    def __init__(self, hello=None, call=None, chunk=None, answer=None, refused=None, cancel=None, ping=None, pong=None, tables_pull=None, tables_push=None, digest_pull=None, members_push=None, leaving=None,):
+    def __init__(self, hello=None, call=None, chunk=None, answer=None, refused=None, cancel=None, ping=None, pong=None, tables_pull=None, tables_push=None, digest_pull=None, members_push=None, leaving=None, load_push=None,):
         self.hello = hello
         self.call = call
         self.chunk = chunk
@@ -2139,6 +2224,7 @@
         self.digest_pull = digest_pull
         self.members_push = members_push
         self.leaving = leaving
+        self.load_push = load_push
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2227,6 +2313,12 @@
                     self.leaving.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.load_push = LoadPush()
+                    self.load_push.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2289,6 +2381,10 @@
             oprot.writeFieldBegin('leaving', TType.STRUCT, 13)
             self.leaving.write(oprot)
             oprot.writeFieldEnd()
+        if self.load_push is not None:
+            oprot.writeFieldBegin('load_push', TType.STRUCT, 14)
+            self.load_push.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2724,6 +2820,12 @@
     (3, TType.I32, 'limit', None, None, ),  # 3
     (4, TType.I16, 'admitted_rank', None, None, ),  # 4
     (5, TType.I32, 'expected_ms', None, None, ),  # 5
+    (6, TType.BOOL, 'slow', None, None, ),  # 6
+)
+all_structs.append(LoadPush)
+LoadPush.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'load', [Load, None], None, ),  # 1
 )
 all_structs.append(CallContext)
 CallContext.thrift_spec = (
@@ -2872,6 +2974,7 @@
     (11, TType.STRUCT, 'digest_pull', [DigestPull, None], None, ),  # 11
     (12, TType.STRUCT, 'members_push', [MembersPush, None], None, ),  # 12
     (13, TType.STRUCT, 'leaving', [Leaving, None], None, ),  # 13
+    (14, TType.STRUCT, 'load_push', [LoadPush, None], None, ),  # 14
 )
 all_structs.append(Probe)
 Probe.thrift_spec = (
--- /dev/null
+++ b/tests/admission/test_slow_watch.py
@@ -0,0 +1,55 @@
+"""Failures: a slow target goes unnoticed, or a usual one is taken for slow."""
+
+from __future__ import annotations
+
+import random
+
+from savorystand.admission.slow_watch import SlowWatch
+from savorystand.clock import ManualClock
+
+
+def _serve(watch: SlowWatch, clock: ManualClock, call_id: int, ms: int) -> bool:
+    watch.begin(call_id, 20)
+    clock.advance(ms)
+    slow = watch.is_slow()
+    watch.end(call_id, whole=True)
+    return slow
+
+
+def test_slow_target_is_noticed_and_forgotten_in_time() -> None:
+    """Three late calls in a row show a slow target; a quick one ends it."""
+    clock = ManualClock()
+    watch = SlowWatch(clock=clock)
+    assert [_serve(watch, clock, one, 60) for one in range(3)][-1]
+    clock.advance(1001)
+    assert not watch.is_slow()
+    # Soon afterwards one late call is enough, and holds for longer.
+    assert _serve(watch, clock, 4, 60)
+    clock.advance(1500)
+    assert watch.is_slow()
+    _serve(watch, clock, 5, 20)
+    assert not watch.is_slow()
+
+
+def test_late_calls_count_before_they_end() -> None:
+    """Hedging callers cancel late calls, which must not hide a slow target."""
+    clock = ManualClock()
+    watch = SlowWatch(clock=clock)
+    for call_id in range(3):
+        watch.begin(call_id, 20)
+    clock.advance(49)
+    assert not watch.is_slow()
+    clock.advance(1)
+    assert watch.is_slow()
+    assert watch.is_slow()
+
+
+def test_exponential_times_seldom_look_slow() -> None:
+    """A usual spread of service times must not send callers away."""
+    clock = ManualClock()
+    watch = SlowWatch(clock=clock)
+    rng = random.Random(5)
+    slow = 0
+    for call_id in range(4000):
+        slow += _serve(watch, clock, call_id, int(rng.expovariate(1 / 20)))
+    assert slow < 40
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -16,6 +16,13 @@
   4: required i16 admitted_rank,
   // Expected queueing plus service time of a new call, in milliseconds.
   5: required i32 expected_ms,
+  // The target is much slower than usual.
+  6: optional bool slow,
+}
+
+// Sent to callers on their open connections, unasked.
+struct LoadPush {
+  1: required Load load,
 }
 
 struct CallContext {
@@ -154,6 +161,7 @@
   11: DigestPull digest_pull,
   12: MembersPush members_push,
   13: Leaving leaving,
+  14: LoadPush load_push,
 }
 
 struct Probe {
