Ask for stronger signs before a target counts as slow

Cause: with exponential service times the relapse rule kept a usual target flagged; a test with 4,000 such calls failed. Change: four times the usual time, or twice for a call that its caller cancelled; three signs in a row, two soon after a slow spell.

--- a/src/savorystand/admission/slow_watch.py
+++ b/src/savorystand/admission/slow_watch.py
@@ -10,24 +10,27 @@
     from savorystand.clock import Clock
 
 # A call this many times slower than usual is a sign of a slow target. With
-# exponential service times one call in twelve is, three in a row are one in
-# two thousand.
-_SLOW_FACTOR = 2.5
+# exponential service times one call in 55 is, three in a row next to never.
+_SLOW_FACTOR = 4
+# Callers that hedge cancel a late call before that; a cancelled call is a sign
+# from this factor on.
+_CANCELLED_FACTOR = 2
 _SIGNS = 3
 # A slow target gets next to no calls, so that nothing shows its recovery:
 # after this time it is taken for recovered, and callers return in steps. The
 # time doubles while it is found slow again.
 _HOLD_MS = 1000
 _MAX_HOLD_MS = 8000
-# Soon after a slow spell one sign is enough.
+# Soon after a slow spell fewer signs are enough.
 _RELAPSE_MS = 10000
+_RELAPSE_SIGNS = 2
 
 
 @final
 @dataclass(slots=True, kw_only=True)
 class _Running:
     started_ms: float
-    suspect_ms: float
+    usual_ms: float
 
 
 @final
@@ -54,7 +57,7 @@
             return
         self._running[call_id] = _Running(
             started_ms=self._clock.now(),
-            suspect_ms=usual_ms * _SLOW_FACTOR,
+            usual_ms=usual_ms,
         )
 
     def end(self, call_id: int, *, whole: bool) -> None:
@@ -63,7 +66,8 @@
         if running is None:
             return
         now = self._clock.now()
-        if now - running.started_ms >= running.suspect_ms:
+        factor = _SLOW_FACTOR if whole else _CANCELLED_FACTOR
+        if now - running.started_ms >= running.usual_ms * factor:
             self._sign(now)
         elif whole:
             self._signs = 0
@@ -75,7 +79,7 @@
         late = [
             call_id
             for call_id, running in self._running.items()
-            if now - running.started_ms >= running.suspect_ms
+            if now - running.started_ms >= running.usual_ms * _SLOW_FACTOR
         ]
         for call_id in late:
             # Each call is one sign, however long it takes.
@@ -88,7 +92,8 @@
             return
         self._signs += 1
         relapse = now - self._until_ms < _RELAPSE_MS
-        if self._signs < _SIGNS and not relapse:
+        enough = _RELAPSE_SIGNS if relapse else _SIGNS
+        if self._signs < enough:
             return
         hold_ms = self._hold_ms * 2 if relapse else _HOLD_MS
         self._hold_ms = min(max(hold_ms, _HOLD_MS), _MAX_HOLD_MS)
