Send answers of the HTTP listeners without Nagle's delay

asyncio sets TCP_NODELAY only on sockets whose protocol is IPPROTO_TCP. The listeners bound theirs with protocol 0, so the body of each answer waited about 40 ms for the client's delayed acknowledgement of the headers.

--- a/src/savorystand/gateway/server.py
+++ b/src/savorystand/gateway/server.py
@@ -62,7 +62,7 @@
         Raises:
             OSError: the address cannot be bound.
         """
-        sock = _bind(self._host, self._port)
+        sock = bind_tcp(self._host, self._port)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._serve, sock)
             while not self._server.started:
@@ -87,8 +87,16 @@
             self._finished.set()
 
 
-def _bind(host: str, port: int) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+def bind_tcp(host: str, port: int) -> socket.socket:
+    """Return a bound socket whose connections send without delay.
+
+    Raises:
+        OSError: the address is in use or not ours.
+    """
+    # asyncio turns Nagle's algorithm off only for sockets whose protocol says
+    # TCP. With it, the body of each answer waits 40 ms for the client's
+    # delayed acknowledgement of the headers.
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         sock.bind((host, port))
