Look for lines of TOML entries only for a fault

Each parse also searched the text for the lines of all entries, which took as long as the parse itself and is needed only to report a fault. A node parses both tables at each change, in the task loop that serves calls.

--- a/src/savorystand/toml/reader.py
+++ b/src/savorystand/toml/reader.py
@@ -5,6 +5,7 @@
 import re
 import tomllib
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import final
@@ -31,21 +32,28 @@
 
 
 @final
-@dataclass(slots=True, kw_only=True, frozen=True)
+@dataclass(slots=True, kw_only=True)
 class TomlText:
-    """The entries of a text and where they stand."""
+    """The entries of a text and where they stand.
+
+    Lines are looked for only when a fault is reported, as that takes longer
+    than parsing and a node does it while calls wait.
+    """
 
     entries: dict[str, Any]
-    statements: tuple[Statement, ...]
+    text: str
+    _statements: tuple[Statement, ...] | None = field(default=None, init=False)
 
     def line(self, path: Path, *, row: int = 0) -> int:
         """Return the line of an entry, or of what encloses it, else 1.
 
         Row 0 stands for any row.
         """
+        if self._statements is None:
+            self._statements = tuple(scan(self.text))
         wanted = path
         while wanted:
-            for statement in self.statements:
+            for statement in self._statements:
                 if statement.row != row != 0:
                     continue
                 if statement.path == wanted:
@@ -70,7 +78,7 @@
     except ValueError:
         # Integers beyond the interpreter's limit of digits.
         raise TomlError(line=1, problem='a number is too long') from None
-    return TomlText(entries=entries, statements=tuple(scan(text)))
+    return TomlText(entries=entries, text=text)
 
 
 def decode_toml(raw: bytes) -> str:
--- a/tests/tables/test_parser.py
+++ b/tests/tables/test_parser.py
@@ -106,6 +106,14 @@
 _TEXTS = st.one_of(st.text(), st.lists(_PIECES).map(''.join))
 
 
+def test_sound_tables_are_not_searched_for_lines(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A change must not hold up calls for twice the time of its parsing."""
+    monkeypatch.delattr('savorystand.toml.reader.scan')
+    assert parse_tables(_document(_ROUTES, _POOLS)).route('bins')
+
+
 @given(
     start=st.integers(0, len(_ROUTES)),
     end=st.integers(0, len(_ROUTES)),
