Add the command slopes

The design asks for the size to be derived from measured slopes. The command measures memory, processor time, control traffic, times and the load on the store against size, fits lines, and works out the lines of both sizes of `sizes.toml`. The two modules that measured single parts move into its package.

--- a/src/savorystand/lab/application.py
+++ b/src/savorystand/lab/application.py
@@ -11,6 +11,7 @@
 from savorystand.lab.commands.overhead import overhead
 from savorystand.lab.commands.platform import platform
 from savorystand.lab.commands.run import run
+from savorystand.lab.commands.slopes import slopes
 from savorystand.lab.commands.targets import targets
 
 
@@ -26,4 +27,5 @@
 main.add_command(overhead)
 main.add_command(platform)
 main.add_command(run)
+main.add_command(slopes)
 main.add_command(targets)
--- a/src/savorystand/lab/membership_driver.py
+++ b/src/savorystand/lab/membership_driver.py
@@ -4,7 +4,9 @@
 
 import random
 from collections import deque
+from collections.abc import Callable
 from typing import TYPE_CHECKING
+from typing import TypeAlias
 
 from savorystand.clock import MS_PER_SECOND
 from savorystand.clock import ManualClock
@@ -34,6 +36,13 @@
 _STARTED_MS = 1700000000000
 
 
+Reach: TypeAlias = Callable[[str, str], bool]
+
+
+def _reaches_all(source: str, host: str) -> bool:
+    return True
+
+
 class Driver:
     """Nodes that know each other, and counters of what they send."""
 
@@ -46,6 +55,7 @@
         'nodes',
         'pull_ms',
         'queue',
+        'reaches',
         'rng',
         'steps',
     )
@@ -57,6 +67,9 @@
         self.pull_ms = pull_ms
         self.rng = random.Random(seed)
         self.queue: deque[tuple[bytes, str, str]] = deque()
+        # Whether what one host sends arrives at another; a stopped node
+        # reaches nobody, itself included.
+        self.reaches: Reach = _reaches_all
         self.steps = 0
         self.reset()
         records = [sample_member(number) for number in range(size)]
@@ -87,7 +100,8 @@
         self.clock.advance(_STEP_MS)
         self.steps += 1
         for node in self.nodes.values():
-            node.step(self.steps)
+            if self.reaches(node.host, node.host):
+                node.step(self.steps)
         self.deliver()
 
     def deliver(self) -> None:
@@ -96,11 +110,15 @@
             datagram, source, host = self.queue.popleft()
             self.datagrams += 1
             self.datagram_bytes += len(datagram)
-            self.nodes[host].swim.receive(datagram, source, 1)
+            if self.reaches(source, host):
+                self.nodes[host].swim.receive(datagram, source, 1)
 
     def exchange(self, node: DrivenNode, peer: PeerAddress) -> None:
         """Run one anti-entropy exchange."""
         other = self.nodes[peer.host]
+        if not self.reaches(node.host, other.host):
+            node.swim.check(peer.node_id)
+            return
         frames = [node.reconciler.begin()]
         while frames:
             frame = frames.pop()
--- /dev/null
+++ b/src/savorystand/lab/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Measured costs against size."""
--- a/src/savorystand/lab/slopes_membership.py
+++ b/src/savorystand/lab/slopes/membership.py
@@ -3,7 +3,7 @@
 The protocol's steps are driven in one process over a network without loss or
 delay. Sizes are of payloads, without the headers of IP, UDP and TCP. Run with::
 
-    python -c 'from savorystand.lab.slopes_membership import report; report()'
+    python -c 'from savorystand.lab.slopes.membership import report; report()'
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/src/savorystand/lab/slopes/memory.py
@@ -0,0 +1,221 @@
+"""Memory of a node against what it keeps, in bytes of Python objects."""
+
+from __future__ import annotations
+
+import gc
+import tracemalloc
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+import anyio
+from anyio.abc import SocketAttribute
+from expression import Ok
+
+from savorystand.admission.queue import AdmissionQueue
+from savorystand.call import Answer
+from savorystand.call import TargetLoad
+from savorystand.clock import Clock
+from savorystand.clock import ManualClock
+from savorystand.deduplication.keys import KeyIssuer
+from savorystand.deduplication.keys import parse_issued
+from savorystand.deduplication.ledger import KeyLedger
+from savorystand.deduplication.ledger import RunNow
+from savorystand.lab.membership_driver import sample_member
+from savorystand.lab.slopes.fit import Slope
+from savorystand.lab.slopes.fit import fit
+from savorystand.lab.slopes.measuring import memory_points
+from savorystand.lab.slopes.membership import filled_list
+from savorystand.lab.slopes.samples import sample_call
+from savorystand.lab.slopes.samples import sample_tables
+from savorystand.reporting.counters import Counters
+from savorystand.reporting.explain import Decisions
+from savorystand.reporting.series import WINDOW_MS
+from savorystand.reporting.series import WINDOWS
+from savorystand.retry.executions import ExecutionLedger
+from savorystand.routing.pool_view import PoolView
+from savorystand.tables.parser import parse_tables
+from savorystand.transport.connection import PeerConnection
+from savorystand.transport.network import Network
+from savorystand.transport.server import ServerConnection
+
+if TYPE_CHECKING:
+    from anyio.abc import ByteStream
+    from anyio.abc import TaskGroup
+
+    from savorystand.call import Call
+    from savorystand.call import Outcome
+    from savorystand.lab.slopes.measuring import Build
+    from savorystand.tables.route import Route
+
+_BYTES = 'bytes'
+_HELD_SIZES = (50, 100, 250, 500)
+_ANSWER_BYTES = 256
+_MARK_BYTES = 16
+_STATUS = 200
+_ROUTES = 10
+_STEPS = 3
+_LATENCY_MS = 5
+_LOOPBACK = '127.0.0.1'
+_NO_ROUTES: Mapping[str, Route] = MappingProxyType({})
+_ANSWERED = Ok(Answer(status=_STATUS, headers=(), body=b'done'))
+
+_Growth: TypeAlias = tuple[str, str, 'Build', tuple[int, ...]]
+_Hold: TypeAlias = Callable[['TaskGroup', int], Awaitable[None]]
+# Lets the tasks reach their waits.
+_SETTLE_SECONDS = 0.1
+
+
+def memory_slopes() -> list[Slope]:
+    """Return the slopes of everything that grows in a node."""
+    plan: tuple[_Growth, ...] = (
+        ('memory-member', 'member', filled_list, (1000, 2500, 5000, 7700)),
+        ('memory-target', 'target called', _view, (24, 100, 400, 800)),
+        ('memory-service', 'service', _tables, (70, 140, 280, 560)),
+        ('memory-key', 'key with answer', _ledger, (500, 1000, 2000, 4000)),
+        ('memory-counter', 'route counted', _counters, (8, 16, 32, 64)),
+        ('memory-decision', 'request', _decisions, (64, 128, 256, 512)),
+    )
+    slopes = [
+        fit(name, _BYTES, per, memory_points(build, sizes))
+        for name, per, build, sizes in plan
+    ]
+    for name, per, hold in (
+        ('memory-connection', 'connection, both ends', _hold_connections),
+        ('memory-running-call', 'running call', _hold_calls),
+    ):
+        anyio.run(_held, hold, _HELD_SIZES[0])
+        points = [(size, anyio.run(_held, hold, size)) for size in _HELD_SIZES]
+        slopes.append(fit(name, _BYTES, per, points))
+    return slopes
+
+
+def _view(size: int) -> object:
+    # The member records themselves count in memory-member.
+    view = PoolView()
+    members = [sample_member(number) for number in range(size)]
+    view.update(members, members[0], 0)
+    for number in range(_ROUTES):
+        view.route(f'route-{number}').record(_LATENCY_MS)
+    members.clear()
+    return view
+
+
+def _tables(size: int) -> object:
+    document = sample_tables(size)
+    return document, parse_tables(document)
+
+
+def _ledger(size: int) -> object:
+    issuer = KeyIssuer(node_id='0123456789abcdef')
+    ledger = KeyLedger()
+    for number in range(size):
+        key = parse_issued(issuer.issue())
+        decision = key and ledger.begin_issued(
+            key, number.to_bytes(_MARK_BYTES)
+        )
+        if isinstance(decision, RunNow):
+            body = bytes(_ANSWER_BYTES) + number.to_bytes(4)
+            answer = Answer(status=_STATUS, headers=(), body=body)
+            ledger.complete(decision, Ok(answer))
+    return ledger
+
+
+def _counters(size: int) -> object:
+    clock = ManualClock()
+    counters = Counters(clock=clock)
+    calls = [sample_call(number) for number in range(size)]
+    for _ in range(WINDOWS):
+        for call in calls:
+            counters.count_call(call, _ANSWERED, _LATENCY_MS)
+        clock.advance(WINDOW_MS)
+    return counters
+
+
+def _decisions(size: int) -> object:
+    decisions = Decisions(clock=Clock())
+    for number in range(size):
+        for step in range(_STEPS):
+            decisions.add(
+                f'request-{number}',
+                event='fresh attempt',
+                route=f'route-{step}',
+                subject=f'node-{number}',
+                verdict='answered',
+                why=f'better of two draws {number}',
+            )
+    return decisions
+
+
+async def _held(hold: _Hold, size: int) -> float:
+    """Return the memory taken once ``size`` things are held, in bytes."""
+    async with anyio.create_task_group() as tasks:
+        gc.collect()
+        tracemalloc.start()
+        await hold(tasks, size)
+        await anyio.sleep(_SETTLE_SECONDS)
+        gc.collect()
+        taken = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        tasks.cancel_scope.cancel()
+    return taken
+
+
+async def _hold_connections(tasks: TaskGroup, size: int) -> None:
+    clock = Clock()
+    network = Network()
+    listener = await network.listen(_LOOPBACK, 0)
+    port = listener.extra(SocketAttribute.local_port)
+    quiet = _Quiet()
+
+    async def serve(stream: ByteStream) -> None:  # noqa: WPS430 - one listener
+        served = ServerConnection(clock=clock, inbound=quiet, control=quiet)
+        await served.run(stream)
+
+    tasks.start_soon(listener.serve, serve)
+    for _ in range(size):
+        conn = PeerConnection(
+            clock=clock,
+            on_load=quiet.answer,
+            on_control=quiet.answer,
+        )
+        tasks.start_soon(conn.run, await network.connect(_LOOPBACK, port))
+
+
+async def _hold_calls(tasks: TaskGroup, size: int) -> None:
+    queue = AdmissionQueue(clock=Clock())
+    queue.set_slots(size)
+    ledger = ExecutionLedger()
+    for number in range(size):
+        tasks.start_soon(_run_call, queue, ledger, sample_call(number))
+
+
+async def _run_call(
+    queue: AdmissionQueue, ledger: ExecutionLedger, call: Call
+) -> None:
+    admitted = await queue.admit(call)
+    execution = ledger.open(call.context)
+    try:
+        await anyio.sleep_forever()
+    finally:
+        ledger.close(execution)
+        queue.release(admitted.ok, whole=False)
+
+
+class _Quiet:
+    """Serves no call and answers no control frame."""
+
+    def route(self, name: str) -> Route | None:
+        return _NO_ROUTES.get(name)
+
+    def load(self) -> TargetLoad:
+        return TargetLoad()
+
+    async def serve(self, call: Call) -> Outcome:
+        return _ANSWERED
+
+    def answer(self, frame: object) -> None:
+        """Ignore a frame."""
--- a/src/savorystand/tables/platform_reader.py
+++ b/src/savorystand/tables/platform_reader.py
@@ -22,7 +22,7 @@
     from savorystand.membership.directory import Directory
     from savorystand.tables.document import TablesSource
 
-_READ_MS = 1000
+READ_MS = 1000
 _MAX_BACKOFF_MS = 2000
 # A store that does not answer is given up on and asked again.
 _READ_LIMIT_MS = 2000
@@ -80,10 +80,10 @@
         await self._clock.sleep(_PEERS_FIRST_MS)
         while True:
             if await self._read_in_time():
-                pause_ms: float = _READ_MS
+                pause_ms: float = READ_MS
             else:
                 # Jitter keeps readers from returning to a store together.
-                pause_ms = self._random.uniform(_READ_MS, _MAX_BACKOFF_MS)
+                pause_ms = self._random.uniform(READ_MS, _MAX_BACKOFF_MS)
             await self._clock.sleep(pause_ms)
 
     async def read(self) -> None:
