Authenticate nodes and bound what comes from outside

Cause: peers talked in plain TCP and UDP, a frame with a missing nested field ended the node, and a client could send headers without end.

--- a/src/savorystand/console/client.py
+++ b/src/savorystand/console/client.py
@@ -4,6 +4,7 @@
 
 import json
 from dataclasses import dataclass
+from dataclasses import field
 from functools import partial
 from typing import TYPE_CHECKING
 from typing import TypeAlias
@@ -14,6 +15,7 @@
 import httpcore
 
 if TYPE_CHECKING:
+    import ssl
     from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Sequence
@@ -53,6 +55,18 @@
     status: int = 0
 
 
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Access:
+    """What an operator shows to nodes and how they are verified.
+
+    Without ``tls`` nodes are asked over plain HTTP.
+    """
+
+    admin_key: str = field(repr=False)
+    tls: ssl.SSLContext | None = None
+
+
 NodeReply: TypeAlias = Replied | Failed
 
 
@@ -64,16 +78,16 @@
 def ask_all(
     addresses: Sequence[str],
     path: str,
-    admin_key: str,
+    access: Access,
 ) -> list[NodeReply]:
     """Return the replies of nodes at ``IP:PORT``, in the same order."""
-    return anyio.run(_ask_all, addresses, path, admin_key)
+    return anyio.run(_ask_all, addresses, path, access)
 
 
 async def _ask_all(
     addresses: Sequence[str],
     path: str,
-    admin_key: str,
+    access: Access,
 ) -> list[NodeReply]:
     replies: dict[str, NodeReply] = {}
     limiter = anyio.CapacityLimiter(_MAX_PARALLEL)
@@ -81,7 +95,7 @@
     asked = list(dict.fromkeys(addresses))
     async with anyio.create_task_group() as tasks:
         for address in asked:
-            ask = partial(_ask, address, path, admin_key)
+            ask = partial(_ask, address, path, access)
             tasks.start_soon(_store, replies, address, ask, limiter)
     return list(map(replies.__getitem__, asked))
 
@@ -96,13 +110,14 @@
         replies[address] = await ask()
 
 
-async def _ask(address: str, path: str, admin_key: str) -> NodeReply:
+async def _ask(address: str, path: str, access: Access) -> NodeReply:
+    scheme = 'http' if access.tls is None else 'https'
     try:
-        async with httpcore.AsyncConnectionPool() as pool:
+        async with httpcore.AsyncConnectionPool(ssl_context=access.tls) as pool:
             response = await pool.request(
                 'GET',
-                f'http://{address}{path}',
-                headers={'authorization': f'Bearer {admin_key}'},
+                f'{scheme}://{address}{path}',
+                headers={'authorization': f'Bearer {access.admin_key}'},
                 extensions={
                     'timeout': dict.fromkeys(_TIMEOUTS, _TIMEOUT_SECONDS),
                 },
--- a/src/savorystand/console/commands/explain.py
+++ b/src/savorystand/console/commands/explain.py
@@ -17,7 +17,7 @@
 from savorystand.console.options import EXIT_MISSING
 from savorystand.console.options import EXIT_UNREACHABLE
 from savorystand.console.options import node_options
-from savorystand.console.options import read_key
+from savorystand.console.options import read_access
 from savorystand.reporting.text import printable
 from savorystand.reporting.text import table
 
@@ -45,6 +45,7 @@
     request_id: str,
     nodes: tuple[str, ...],
     key_file: Path,
+    authority: Path | None,
     *,
     as_json: bool,
 ) -> None:
@@ -53,8 +54,8 @@
     Exits with 1 if a node is missing or knows nothing of the request, and
     with 3 if none could be reached.
     """
-    key = read_key(key_file)
-    replies = ask_all(nodes, explain_path(request_id), key)
+    access = read_access(key_file, authority)
+    replies = ask_all(nodes, explain_path(request_id), access)
     failed = [reply for reply in replies if isinstance(reply, Failed)]
     steps = [
         step
--- a/src/savorystand/console/commands/report.py
+++ b/src/savorystand/console/commands/report.py
@@ -19,7 +19,7 @@
 from savorystand.console.options import EXIT_MISSING
 from savorystand.console.options import EXIT_UNREACHABLE
 from savorystand.console.options import node_options
-from savorystand.console.options import read_key
+from savorystand.console.options import read_access
 from savorystand.reporting.burn import BurnReport
 from savorystand.reporting.burn import Missing
 from savorystand.reporting.burn import build_report
@@ -32,6 +32,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from savorystand.console.client import Access
     from savorystand.reporting.documents import NodeCounts
 
 _NOT_ASKED = 'no --node gives its listener for callers'
@@ -48,6 +49,7 @@
 def report_command(
     nodes: tuple[str, ...],
     key_file: Path,
+    authority: Path | None,
     page: Path | None,
     *,
     as_json: bool,
@@ -56,7 +58,7 @@
 
     Exits with 1 if a node is missing and with 3 if none could be reached.
     """
-    report = collect(nodes, read_key(key_file))
+    report = collect(nodes, read_access(key_file, authority))
     if page is not None:
         page.write_text(
             report_page(report, title='savorystand: service-level burn'),
@@ -72,7 +74,7 @@
         sys.exit(EXIT_MISSING)
 
 
-def collect(nodes: Sequence[str], admin_key: str) -> BurnReport:
+def collect(nodes: Sequence[str], access: Access) -> BurnReport:
     """Return the report of the nodes at these addresses.
 
     Members that the first answering node knows and that are not among them
@@ -80,7 +82,7 @@
     """
     answers: list[NodeCounts] = []
     missing: list[Missing] = []
-    for reply in ask_all(nodes, REPORT_PATH, admin_key):
+    for reply in ask_all(nodes, REPORT_PATH, access):
         match _parsed(reply):
             case Missing() as gap:
                 missing.append(gap)
@@ -89,7 +91,7 @@
     known = {answer.node for answer in answers}
     missing.extend(
         Missing(node=f'{node_id} at {address}', why=_NOT_ASKED)
-        for node_id, address in _members(nodes, admin_key)
+        for node_id, address in _members(nodes, access)
         if node_id not in known
     )
     return build_report(answers, missing)
@@ -108,10 +110,10 @@
 
 def _members(
     nodes: Sequence[str],
-    admin_key: str,
+    access: Access,
 ) -> list[tuple[str, str]]:
     for address in nodes:
-        members = _listed(ask_all([address], STATUS_PATH, admin_key)[0])
+        members = _listed(ask_all([address], STATUS_PATH, access)[0])
         if members:
             return [_named(member) for member in members if _counts(member)]
     return []
--- a/src/savorystand/console/commands/status.py
+++ b/src/savorystand/console/commands/status.py
@@ -17,7 +17,7 @@
 from savorystand.console.options import EXIT_MISSING
 from savorystand.console.options import EXIT_UNREACHABLE
 from savorystand.console.options import node_options
-from savorystand.console.options import read_key
+from savorystand.console.options import read_access
 from savorystand.reporting.text import printable
 from savorystand.reporting.text import table
 
@@ -41,6 +41,7 @@
 def status_command(
     nodes: tuple[str, ...],
     key_file: Path,
+    authority: Path | None,
     *,
     as_json: bool,
 ) -> None:
@@ -48,7 +49,7 @@
 
     Exits with 1 if a node is missing and with 3 if none could be reached.
     """
-    replies = ask_all(nodes, STATUS_PATH, read_key(key_file))
+    replies = ask_all(nodes, STATUS_PATH, read_access(key_file, authority))
     if as_json:
         click.echo(json.dumps(_document(replies)))
     else:
--- a/src/savorystand/console/options.py
+++ b/src/savorystand/console/options.py
@@ -8,6 +8,10 @@
 
 import click
 
+from savorystand.console.client import Access
+from savorystand.trust.certificates import authority_context
+from savorystand.trust.errors import CertificateError
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -40,7 +44,7 @@
 def node_options(
     command: Callable[..., None],
 ) -> Callable[..., None]:
-    """Add ``--node``, ``--key-file`` and ``--json`` to a command."""
+    """Add the options that name nodes and how to ask them."""
     options = (
         click.option(
             '--node',
@@ -56,6 +60,11 @@
             required=True,
             help='File with the administration key.',
         ),
+        click.option(
+            '--authority',
+            type=click.Path(exists=True, dir_okay=False, path_type=Path),
+            help='PEM file of the authority, for nodes with [tls].',
+        ),
         click.option('--json', 'as_json', is_flag=True, help='Print JSON.'),
     )
     for option in reversed(options):
@@ -63,6 +72,17 @@
     return command
 
 
+def read_access(key_file: Path, authority: Path | None) -> Access:
+    """Return what the options give, for asking nodes."""
+    admin_key = read_key(key_file)
+    if authority is None:
+        return Access(admin_key=admin_key)
+    try:
+        return Access(admin_key=admin_key, tls=authority_context(authority))
+    except CertificateError as exc:
+        raise click.FileError(str(authority), hint=str(exc)) from exc
+
+
 def read_key(path: Path) -> str:
     """Return the key in a file, without the line break at its end."""
     try:
--- a/src/savorystand/deduplication/keys.py
+++ b/src/savorystand/deduplication/keys.py
@@ -13,6 +13,8 @@
 _SECRET_BYTES = 16
 _CHECK_DIGITS = 16
 _PARTS = 4
+# Of a sequence number; int() refuses very long ones with ValueError.
+_MAX_DIGITS = 20
 
 
 @final
@@ -34,7 +36,7 @@
     parts = key.split('.')
     if len(parts) != _PARTS or parts[0] != _PREFIX:
         return None
-    if not parts[2].isdecimal():
+    if not parts[2].isdecimal() or len(parts[2]) > _MAX_DIGITS:
         return None
     return IssuedKey(
         node_id=parts[1],
--- a/src/savorystand/gateway/admin.py
+++ b/src/savorystand/gateway/admin.py
@@ -24,6 +24,7 @@
 Endpoint: TypeAlias = Callable[[Query], Reply]
 
 _MAX_KEYS = 1000
+_MAX_DIGITS = 4
 _NO_CONTENT = 204
 _BAD_REQUEST = 400
 _UNAUTHORIZED = 401
@@ -101,7 +102,8 @@
 
     def _issue_keys(self, query: Query) -> Reply:
         text = query.get('count', ['1'])[0]
-        if not text.isdecimal() or not 0 < int(text) <= _MAX_KEYS:
+        short = text.isdecimal() and len(text) <= _MAX_DIGITS
+        if not short or not 0 < int(text) <= _MAX_KEYS:
             detail = f'count must be from 1 to {_MAX_KEYS}'
             return json_reply({'error': detail}, status=_BAD_REQUEST)
         issuer = self._kernel.find('keys', KeyedRunner).issuer
--- a/src/savorystand/gateway/application.py
+++ b/src/savorystand/gateway/application.py
@@ -21,13 +21,14 @@
 from savorystand.dispatch.dispatcher import Dispatcher
 from savorystand.gateway import headers as names
 from savorystand.gateway.admin import AdminEndpoints
+from savorystand.gateway.asgi import BodyReader
 from savorystand.gateway.asgi import Receive
 from savorystand.gateway.asgi import Reply
 from savorystand.gateway.asgi import RequestAbortedError
 from savorystand.gateway.asgi import RequestTooLargeError
 from savorystand.gateway.asgi import Scope
 from savorystand.gateway.asgi import Send
-from savorystand.gateway.asgi import request_body
+from savorystand.gateway.asgi import TooManyBodiesError
 from savorystand.gateway.asgi import request_headers
 from savorystand.gateway.asgi import request_path
 from savorystand.gateway.asgi import send_reply
@@ -82,6 +83,7 @@
 
     __slots__ = (
         '_admin',
+        '_bodies',
         '_clock',
         '_closing',
         '_contexts',
@@ -95,6 +97,7 @@
         self._clock = kernel.find('clock', Clock)
         self._origin = origin
         self._closing = False
+        self._bodies = BodyReader()
         self._contexts = ContextFactory(kernel=kernel)
         self._admin = kernel.find('admin', AdminEndpoints)
 
@@ -109,8 +112,10 @@
         except RequestAbortedError:
             return
         except RequestTooLargeError as exc:
-            refusal = NotRun(reason=Reason.TOO_LARGE, detail=str(exc))
-            await send_reply(send, self._refusal(refusal, ''))
+            await self._refuse_unread(send, Reason.TOO_LARGE, str(exc))
+            return
+        except TooManyBodiesError:
+            await self._refuse_unread(send, Reason.OVERLOADED, 'uploads')
             return
         # A caller that hangs up cancels the work done for it.
         with anyio.CancelScope() as cancel_scope:
@@ -124,13 +129,24 @@
         """Ask clients, from now on, to close after each answer."""
         self._closing = True
 
+    async def _refuse_unread(
+        self,
+        send: Send,
+        reason: Reason,
+        detail: str,
+    ) -> None:
+        # What is left of the request is not read: the connection is closed.
+        reply = self._refusal(NotRun(reason=reason, detail=detail), '')
+        reply = replace(reply, headers=reply.headers + _CLOSE)
+        await send_reply(send, reply)
+
     async def _read(self, scope: Scope, receive: Receive) -> Request:
         received_ms = self._clock.now()
         return Request(
             method=scope['method'],
             path=request_path(scope),
             headers=request_headers(scope),
-            body=await request_body(receive),
+            body=await self._bodies.read(receive),
             received_ms=received_ms,
         )
 
--- a/src/savorystand/gateway/asgi.py
+++ b/src/savorystand/gateway/asgi.py
@@ -12,6 +12,8 @@
 from typing import TypeAlias
 from typing import final
 
+from savorystand.transport.bounds import MAX_KEY_BYTES
+from savorystand.transport.bounds import MAX_PATH_BYTES
 from savorystand.transport.conversion import MAX_BODY_BYTES
 
 if TYPE_CHECKING:
@@ -22,13 +24,21 @@
 Send: TypeAlias = Callable[[dict[str, Any]], Awaitable[None]]
 
 _MAX_HEADERS = 64
+_KEY = b'idempotency-key'
 _MAX_HEADER_BYTES = 16384
+# Bound on the unfinished bodies of one listener; beyond it new requests with
+# long bodies are refused, and those in progress go on.
+MAX_UNFINISHED_BYTES = 536870912
 
 
 class RequestTooLargeError(Exception):
     """Headers or body of a request exceed a bound."""
 
 
+class TooManyBodiesError(Exception):
+    """The bodies that are arriving take too much memory already."""
+
+
 class RequestAbortedError(Exception):
     """The client closed the connection before the body was whole."""
 
@@ -62,41 +72,89 @@
     size = sum(len(name) + len(text) for name, text in raw)
     if len(raw) > _MAX_HEADERS or size > _MAX_HEADER_BYTES:
         raise RequestTooLargeError(f'{len(raw)} headers of {size} bytes')
+    longest = max((len(text) for name, text in raw if name == _KEY), default=0)
+    if longest > MAX_KEY_BYTES:
+        raise RequestTooLargeError(f'key of {longest} bytes')
     return tuple(
         (name.decode('latin-1'), text.decode('latin-1')) for name, text in raw
     )
 
 
 def request_path(scope: Scope) -> str:
-    """Return path and query as the client sent them."""
+    """Return path and query as the client sent them.
+
+    Raises:
+        RequestTooLargeError: they exceed the bound.
+    """
     path = scope['raw_path'].decode('latin-1')
     query = scope['query_string']
+    size = len(path) + len(query)
+    if size > MAX_PATH_BYTES:
+        raise RequestTooLargeError(f'path of {size} bytes')
     if query:
         return f'{path}?{query.decode("latin-1")}'
     return str(path)
 
 
+class BodyReader:
+    """Receives the bodies of one listener's requests."""
+
+    __slots__ = ('_unfinished',)
+
+    def __init__(self) -> None:
+        """Start without a body."""
+        # Bytes of the bodies that have arrived in part.
+        self._unfinished = 0
+
+    async def read(self, receive: Receive) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            RequestTooLargeError: it exceeds the bound.
+            TooManyBodiesError: the other bodies leave no room for it.
+            RequestAbortedError: the client went away before its end.
+        """
+        message = await receive()
+        if message['type'] == 'http.request' and not message.get('more_body'):
+            return _bounded(message.get('body', b''))
+        if self._unfinished > MAX_UNFINISHED_BYTES:
+            raise TooManyBodiesError
+        parts: list[bytes] = []
+        try:
+            await self._collect(message, receive, parts)
+        finally:
+            self._unfinished -= sum(map(len, parts))
+        return b''.join(parts)
+
+    async def _collect(
+        self,
+        message: dict[str, Any],
+        receive: Receive,
+        parts: list[bytes],
+    ) -> None:
+        size = 0
+        while True:
+            if message['type'] == 'http.disconnect':
+                raise RequestAbortedError
+            part = message.get('body', b'')
+            size += len(part)
+            if size > MAX_BODY_BYTES:
+                raise RequestTooLargeError(f'body of more than {size} bytes')
+            parts.append(part)
+            self._unfinished += len(part)
+            if not message.get('more_body'):
+                return
+            message = await receive()
+
+
 async def request_body(receive: Receive) -> bytes:
-    """Return the whole body.
+    """Return the whole body of a request to a listener without a reader.
 
     Raises:
         RequestTooLargeError: it exceeds the bound.
         RequestAbortedError: the client went away before its end.
     """
-    message = await receive()
-    if message['type'] == 'http.request' and not message.get('more_body'):
-        return _bounded(message.get('body', b''))
-    parts = [message.get('body', b'')]
-    size = len(parts[0])
-    while message.get('more_body') or message['type'] == 'http.disconnect':
-        if message['type'] == 'http.disconnect':
-            raise RequestAbortedError
-        message = await receive()
-        parts.append(message.get('body', b''))
-        size += len(parts[-1])
-        if size > MAX_BODY_BYTES:
-            raise RequestTooLargeError(f'body of more than {size} bytes')
-    return b''.join(parts)
+    return await BodyReader().read(receive)
 
 
 async def send_reply(send: Send, reply: Reply) -> None:
--- a/src/savorystand/gateway/contexts.py
+++ b/src/savorystand/gateway/contexts.py
@@ -22,6 +22,8 @@
 DEFAULT_DEADLINE_MS = 10000
 MAX_DEADLINE_MS = 120000
 _ID_BYTES = 8
+_MAX_DIGITS = 16
+_MAX_ID = 128
 
 
 @final
@@ -48,9 +50,8 @@
     def entry(self, request: Request, route: Route) -> CallContext:
         """Return the context of a call from outside the system."""
         policy = self._kernel.find('retry', RetryPolicy)
-        request_id = names.header(request.headers, names.REQUEST_ID)
         return CallContext(
-            request_id=request_id or secrets.token_hex(_ID_BYTES),
+            request_id=_request_id(request.headers),
             execution_id='',
             deadline_ms=request.received_ms + _deadline(request.headers),
             retries_left=policy.entry_retries(),
@@ -93,8 +94,17 @@
         )
 
 
+def _request_id(headers: Headers) -> str:
+    text = names.header(headers, names.REQUEST_ID)
+    # The context header separates its parts by semicolons.
+    if 0 < len(text) <= _MAX_ID and text.isascii() and ';' not in text:
+        return text
+    return secrets.token_hex(_ID_BYTES)
+
+
 def _deadline(headers: Headers) -> int:
     text = names.header(headers, names.DEADLINE)
-    if not text.isdecimal():
+    # Longer numbers exceed any deadline, and int() refuses very long ones.
+    if not text.isdecimal() or len(text) > _MAX_DIGITS:
         return DEFAULT_DEADLINE_MS
     return min(int(text), MAX_DEADLINE_MS)
--- a/src/savorystand/gateway/protocol.py
+++ b/src/savorystand/gateway/protocol.py
@@ -1,4 +1,4 @@
-"""The HTTP protocol of the listeners, with cancellation on disconnect."""
+"""The HTTP protocol of the listeners: cancellation and bounds on clients."""
 
 from __future__ import annotations
 
@@ -10,16 +10,88 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+# Bound on the connections of one listener; later ones are closed at once.
+MAX_CONNECTIONS = 4096
+# Bound on request line and headers together while they arrive. It exceeds
+# what the application accepts, which answers with a refusal.
+MAX_HEAD_BYTES = 65536
+# Time to send a whole request line and headers, from the connection or from
+# the first byte of a later request.
+HEAD_SECONDS = 10
+# Time without a byte of an unfinished body. An upload that is slow but moves
+# is never cut; its deadline ends it.
+BODY_IDLE_SECONDS = 30
 _CANCEL = 'savorystand.cancel'
 
 
-class CancellingProtocol(HttpToolsProtocol):
+class BoundedProtocol(HttpToolsProtocol):
     """Cancels the request in progress when its client hangs up.
 
     Watching ``receive`` for the disconnect message instead takes a task for
-    each request, which costs about a tenth of a millisecond.
+    each request, which costs about a tenth of a millisecond. Slow clients are
+    found by the listener, which calls ``expire`` for all connections every
+    second: a timer for each request would cost more.
     """
 
+    def __init__(self, *args: Any, **options: Any) -> None:
+        """Take what uvicorn gives to its protocols."""
+        super().__init__(*args, **options)
+        self._in_head = True
+        # Bytes since the parser last finished a head or a part of a body.
+        self._unparsed = 0
+        # Time of the loop, in seconds, at which the head began or the last
+        # bytes of a body arrived.
+        self._since = self.loop.time()
+
+    def connection_made(self, transport: Any) -> None:
+        """Take a connection, unless there are too many."""
+        super().connection_made(transport)
+        if len(self.connections) > MAX_CONNECTIONS:
+            transport.abort()
+
+    def data_received(self, data: bytes) -> None:  # noqa: WPS110 - asyncio
+        """Parse what arrived; end a connection whose head is too long."""
+        if not self._in_head:
+            self._since = self.loop.time()
+        self._unparsed += len(data)
+        super().data_received(data)
+        # Trailers and chunk extensions count like a head.
+        if self._unparsed > MAX_HEAD_BYTES:
+            self.transport.abort()
+
+    def on_message_begin(self) -> None:
+        """Begin to measure a request line and headers."""
+        super().on_message_begin()
+        self._in_head = True
+        self._since = self.loop.time()
+
+    def on_headers_complete(self) -> None:
+        """Begin to measure a body."""
+        self._in_head = False
+        self._unparsed = 0
+        super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of a body."""
+        self._unparsed = 0
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Stop measuring until the next request."""
+        self._unparsed = 0
+        super().on_message_complete()
+
+    def expire(self) -> None:
+        """End the connection if its client takes too long to send."""
+        waited = self.loop.time() - self._since
+        if self.flow.read_paused or self._running():
+            # This node is the one that waits, or it works on a request.
+            return
+        if self._in_head and waited > HEAD_SECONDS:
+            self.transport.abort()
+        elif self._body_missing() and waited > BODY_IDLE_SECONDS:
+            self.transport.abort()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel what is being done for the client that is gone."""
         super().connection_lost(exc)
@@ -27,6 +99,15 @@
         if scope is not None and _CANCEL in scope:
             scope[_CANCEL]()
 
+    def _running(self) -> bool:
+        cycle = self.cycle
+        if cycle is None or cycle.more_body:
+            return False
+        return not cycle.response_complete
+
+    def _body_missing(self) -> bool:
+        return self.cycle is not None and self.cycle.more_body
+
 
 def on_disconnect(scope: dict[str, Any], cancel: Callable[[], None]) -> None:
     """Have ``cancel`` called if the client of an ASGI scope hangs up."""
--- a/src/savorystand/gateway/server.py
+++ b/src/savorystand/gateway/server.py
@@ -4,13 +4,16 @@
 
 import contextlib
 import socket
+import ssl
+from collections.abc import Callable
 from typing import TYPE_CHECKING
+from typing import TypeAlias
 
 import anyio
 from uvicorn import Config
 from uvicorn import Server
 
-from savorystand.gateway.protocol import CancellingProtocol
+from savorystand.gateway.protocol import BoundedProtocol
 from savorystand.kernel.service import Service
 
 if TYPE_CHECKING:
@@ -20,7 +23,15 @@
 
     from savorystand.gateway.application import HttpApplication
 
+ContextFactory: TypeAlias = Callable[
+    [Config, Callable[[], ssl.SSLContext]],
+    ssl.SSLContext,
+]
+
 _POLL_SECONDS = 0.005
+_SWEEP_SECONDS = 1
+# An open connection without a request is closed after this time.
+KEEP_ALIVE_SECONDS = 5
 
 
 class _Server(Server):
@@ -35,8 +46,15 @@
 
     __slots__ = ('_app', '_finished', '_host', '_port', '_server')
 
-    def __init__(self, *, app: HttpApplication, host: str, port: int) -> None:
-        """Serve ``app`` on ``host`` and ``port`` once ``run`` is called."""
+    def __init__(
+        self,
+        *,
+        app: HttpApplication,
+        host: str,
+        port: int,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        """Serve ``app`` on ``host`` and ``port``, with TLS if ``tls`` is set."""
         self._app = app
         self._host = host
         self._port = port
@@ -46,13 +64,15 @@
                 app,
                 host=host,
                 port=port,
-                http=CancellingProtocol,
+                http=BoundedProtocol,
                 ws='none',
                 lifespan='off',
                 log_config=None,
                 access_log=False,
                 server_header=False,
                 date_header=False,
+                timeout_keep_alive=KEEP_ALIVE_SECONDS,
+                ssl_context_factory=_factory(tls),
             ),
         )
 
@@ -68,6 +88,9 @@
             while not self._server.started:
                 await anyio.sleep(_POLL_SECONDS)
             task_status.started()
+            while True:
+                await anyio.sleep(_SWEEP_SECONDS)
+                self._end_slow_clients()
 
     def stop_accepting(self) -> None:
         """Take no new connections; open ones close after their next answer."""
@@ -80,6 +103,11 @@
         self._server.should_exit = True
         await self._finished.wait()
 
+    def _end_slow_clients(self) -> None:
+        for conn in tuple(self._server.server_state.connections):
+            if isinstance(conn, BoundedProtocol):
+                conn.expire()
+
     async def _serve(self, sock: socket.socket) -> None:
         try:
             await self._server.serve([sock])
@@ -87,6 +115,12 @@
             self._finished.set()
 
 
+def _factory(tls: ssl.SSLContext | None) -> ContextFactory | None:
+    if tls is None:
+        return None
+    return lambda config, default: tls
+
+
 def _bind(host: str, port: int) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/src/savorystand/membership/conversion.py
+++ b/src/savorystand/membership/conversion.py
@@ -14,7 +14,8 @@
 from savorystand.wire.errors import FrameError
 from savorystand.wire.gen.wire import ttypes
 
-MAX_DATAGRAM_BYTES = 1400
+# The tag is added to this; both have at most 1,400 bytes.
+MAX_DATAGRAM_BYTES = 1384
 # With six such strings a record stays below a fifth of a datagram.
 MAX_NAME_BYTES = 64
 # More minimal records than this do not fit into a datagram.
--- a/src/savorystand/membership/datagrams.py
+++ b/src/savorystand/membership/datagrams.py
@@ -11,6 +11,8 @@
 if TYPE_CHECKING:
     from anyio.abc import UDPSocket
 
+    from savorystand.trust.seal import DatagramSeal
+
 DatagramReceiver: TypeAlias = Callable[[bytes, str, int], None]
 
 # Datagrams that wait for the socket; more are dropped like lost ones.
@@ -20,10 +22,11 @@
 class DatagramPort:
     """Sends without blocking and passes on what arrives."""
 
-    __slots__ = ('_inbox', '_outbox')
+    __slots__ = ('_inbox', '_outbox', '_seal')
 
-    def __init__(self) -> None:
-        """Create the queue of datagrams to send."""
+    def __init__(self, *, seal: DatagramSeal) -> None:
+        """Create the queue of datagrams to send, sealed with ``seal``."""
+        self._seal = seal
         streams = anyio.create_memory_object_stream[tuple[bytes, str, int]](
             _WAITING,
         )
@@ -32,8 +35,9 @@
 
     def send(self, datagram: bytes, host: str, port: int) -> None:
         """Queue a datagram; it counts as lost if the socket is behind."""
+        sealed = self._seal.seal(datagram)
         try:
-            self._outbox.send_nowait((datagram, host, port))
+            self._outbox.send_nowait((sealed, host, port))
         except anyio.WouldBlock:
             # The protocol repeats what matters.
             return
@@ -48,6 +52,8 @@
                 await anyio.lowlevel.checkpoint()
 
     async def receive(self, udp: UDPSocket, receiver: DatagramReceiver) -> None:
-        """Pass each datagram that arrives to ``receiver`` until cancelled."""
+        """Pass what arrives with the right tag on until cancelled."""
         async for datagram, (host, port) in udp:
-            receiver(datagram, host, port)
+            payload = self._seal.open(datagram)
+            if payload is not None:
+                receiver(payload, host, port)
--- a/src/savorystand/membership/membership.py
+++ b/src/savorystand/membership/membership.py
@@ -22,6 +22,7 @@
 from savorystand.transport.address import PeerAddress
 from savorystand.transport.network import Network
 from savorystand.transport.peers import PeerTransport
+from savorystand.trust.seal import DatagramSeal
 from savorystand.wire.codec import Message
 from savorystand.wire.gen.wire import ttypes
 
@@ -55,6 +56,7 @@
         '_port',
         '_swim',
         '_tables_answer',
+        'seal',
     )
 
     def __init__(
@@ -75,7 +77,8 @@
             clock=self._clock,
             rng=rng,
         )
-        self._port = DatagramPort()
+        self.seal = DatagramSeal(admin_key=cfg.admin_key)
+        self._port = DatagramPort(seal=self.seal)
         self._swim = Swim(
             members=self._members,
             clock=self._clock,
--- a/src/savorystand/node/application.py
+++ b/src/savorystand/node/application.py
@@ -15,6 +15,7 @@
 from savorystand.reporting.logs import log_handler
 from savorystand.settings.errors import SettingsError
 from savorystand.settings.loader import load_settings
+from savorystand.trust.errors import CertificateError
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -31,6 +32,7 @@
 
     Raises:
         OSError: an address of the settings cannot be bound.
+        CertificateError: a file of its ``[tls]`` is unusable.
     """
     anyio.run(
         _run_until_signal,
@@ -51,6 +53,8 @@
     log_handler().push_application()
     try:
         run_node(cfg, replace={})
+    except* CertificateError as refused:
+        _fail(str(refused.exceptions[0]), EXIT_SETTINGS)
     except* OSError as group:
         _fail(f'cannot listen: {group.exceptions[0]}', EXIT_ADDRESS)
 
--- a/src/savorystand/node/builder.py
+++ b/src/savorystand/node/builder.py
@@ -25,6 +25,9 @@
 from savorystand.membership.directory import FailureObserver
 from savorystand.membership.membership import Membership
 from savorystand.node.departure import Departure
+from savorystand.node.networks import NETWORK
+from savorystand.node.networks import listener_context
+from savorystand.node.networks import network_plan
 from savorystand.node.platform import platform_plan
 from savorystand.reporting.endpoints import ReportEndpoints
 from savorystand.reporting.setup import reporting_plan
@@ -33,7 +36,6 @@
 from savorystand.routing.router import Router
 from savorystand.tables.holder import TableHolder
 from savorystand.transport.inbound import ControlPeer
-from savorystand.transport.network import Network
 from savorystand.transport.peers import PeerTransport
 
 if TYPE_CHECKING:
@@ -60,8 +62,13 @@
 
     Services start in the order of the plan and stop in reverse. ``replace``
     substitutes services by name; the lab injects faults with it.
+
+    Raises:
+        CertificateError: a file of ``cfg.tls`` is missing or unusable.
     """
     plan = {
+        'clock': lambda kernel: Clock(),
+        **network_plan(cfg, replace),
         **_state_plan(cfg, node_id),
         **reporting_plan(cfg, node_id),
         **_policy_plan(),
@@ -69,15 +76,14 @@
         **_listener_plan(cfg),
     }
     kernel = Kernel()
+    replaced = {name: replace[name] for name in replace if name != NETWORK}
     for name, factory in plan.items():
-        kernel.register(name, replace.get(name, factory)(kernel))
+        kernel.register(name, replaced.get(name, factory)(kernel))
     return kernel
 
 
 def _state_plan(cfg: NodeSettings, node_id: str) -> dict[str, Factory]:
     return {
-        'clock': lambda kernel: Clock(),
-        'network': lambda kernel: Network(),
         'tables': lambda kernel: TableHolder(),
         'transport': lambda kernel: PeerTransport(
             kernel=kernel,
@@ -142,6 +148,7 @@
             app=HttpApplication(kernel=kernel, origin=FromCallers()),
             host=cfg.callers.host,
             port=cfg.callers.port,
+            tls=listener_context(kernel, cfg),
         ),
         'departure': lambda kernel: Departure(kernel=kernel),
     }
--- a/src/savorystand/transport/assembly.py
+++ b/src/savorystand/transport/assembly.py
@@ -4,12 +4,19 @@
 
 from typing import TYPE_CHECKING
 
+from savorystand.transport.conversion import CHUNK_BYTES
 from savorystand.transport.conversion import MAX_BODY_BYTES
 from savorystand.wire.errors import FrameError
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from savorystand.wire.codec import Message
 
+# Bound on the unfinished bodies of one connection; beyond it new calls are
+# refused, and those in progress go on.
+MAX_UNFINISHED_BYTES = 268435456
+
 
 class BodyAssembly:
     """A body of which some chunks have arrived.
@@ -17,7 +24,7 @@
     ``start`` is the ``CallStart`` or ``AnswerStart`` that announced it.
     """
 
-    __slots__ = ('_parts', '_received', 'start')
+    __slots__ = ('_parts', 'received', 'start')
 
     def __init__(self, *, start: Message) -> None:
         """Begin with the chunk in the opening frame.
@@ -29,17 +36,22 @@
             raise FrameError(f'body of {start.body_size} bytes is refused')
         self.start = start
         self._parts = [start.body]
-        self._received = len(start.body)
+        # Bytes that have arrived so far.
+        self.received = len(start.body)
 
     def add(self, chunk: Message) -> bool:
         """Add a chunk; return True if it is the last.
 
         Raises:
-            FrameError: the body is longer than announced.
+            FrameError: the body is longer than announced, or the chunk is
+                shorter than senders cut them, of which a body could take
+                any number.
         """
+        if len(chunk.body) < CHUNK_BYTES and not chunk.last:
+            raise FrameError(f'chunk of {len(chunk.body)} bytes')
         self._parts.append(chunk.body)
-        self._received += len(chunk.body)
-        if self._received > self.start.body_size:
+        self.received += len(chunk.body)
+        if self.received > self.start.body_size:
             raise FrameError('body is longer than announced')
         return bool(chunk.last)
 
@@ -49,6 +61,12 @@
         Raises:
             FrameError: the end came before the announced length.
         """
-        if self._received != self.start.body_size:
+        if self.received != self.start.body_size:
             raise FrameError('body is shorter than announced')
         return b''.join(self._parts)
+
+
+def has_room(unfinished: Iterable[BodyAssembly]) -> bool:
+    """Return True if a connection may begin another body."""
+    received = sum(assembly.received for assembly in unfinished)
+    return received <= MAX_UNFINISHED_BYTES
--- a/src/savorystand/transport/conversion.py
+++ b/src/savorystand/transport/conversion.py
@@ -10,6 +10,7 @@
 from savorystand.call import Headers
 from savorystand.call import Importance
 from savorystand.call import TargetLoad
+from savorystand.transport.bounds import check_call
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
@@ -26,8 +27,9 @@
 CHUNK_BYTES = 16384
 # Longest body that a node holds in memory, request or answer.
 MAX_BODY_BYTES = 16777216
-_MAX_HEADERS = 100
 _MAX_RETRIES = 8
+# The longest deadline that the gateway accepts.
+_MAX_REMAINING_MS = 120000
 
 
 def call_frame(call: Call, stream: int, now: float) -> Message:
@@ -70,6 +72,7 @@
     Raises:
         FrameError: a field is out of its range.
     """
+    check_call(start)
     return Call(
         context=_context_from(start.context, now),
         route=route,
@@ -163,8 +166,6 @@
 
 
 def _headers_from(headers: list[Message]) -> Headers:
-    if len(headers) > _MAX_HEADERS:
-        raise FrameError(f'{len(headers)} headers exceed {_MAX_HEADERS}')
     return tuple((header.name, header.value) for header in headers)
 
 
@@ -186,7 +187,7 @@
     return CallContext(
         request_id=context.request_id,
         execution_id=context.execution_id,
-        deadline_ms=now + context.remaining_ms,
+        deadline_ms=now + min(context.remaining_ms, _MAX_REMAINING_MS),
         retries_left=min(max(0, context.retries_left), _MAX_RETRIES),
         importance=importance,
     )
--- a/src/savorystand/transport/errors.py
+++ b/src/savorystand/transport/errors.py
@@ -15,6 +15,8 @@
 STREAM_ERRORS = (
     OSError,
     anyio.BrokenResourceError,
+    # TLS answers a key update of the peer while a frame is being sent.
+    anyio.BusyResourceError,
     anyio.ClosedResourceError,
     FrameError,
 )
--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -32,6 +32,9 @@
     from savorystand.wire.codec import Message
 
 _CONNECT_MS = 1000
+# Bound on the connections that peers open; later ones are closed at once. At
+# the target size each of 7,700 nodes may have one.
+MAX_PEER_CONNECTIONS = 8192
 _DRAIN_POLL_MS = 20
 
 
@@ -173,6 +176,9 @@
             raise ConnectionLostError(f'{where}: {exc}') from exc
 
     async def _serve(self, stream: ByteStream) -> None:
+        if len(self._serving) >= MAX_PEER_CONNECTIONS:
+            await anyio.aclose_forcefully(stream)
+            return
         conn = ServerConnection(
             clock=self._clock,
             inbound=self._kernel.find('inbound', InboundHandler),
--- a/src/savorystand/transport/server.py
+++ b/src/savorystand/transport/server.py
@@ -9,6 +9,7 @@
 from logbook import Logger
 
 from savorystand.transport.assembly import BodyAssembly
+from savorystand.transport.assembly import has_room
 from savorystand.transport.connection import MAX_STREAMS
 from savorystand.transport.conversion import answer_frame
 from savorystand.transport.conversion import call_from
@@ -113,7 +114,8 @@
 
     def _begin_call(self, start: Message, tasks: TaskGroup) -> None:
         streams = len(self._scopes) + len(self._assemblies)
-        if streams >= MAX_STREAMS or start.stream in self._scopes:
+        full = streams >= MAX_STREAMS or not has_room(self._assemblies.values())
+        if full or start.stream in self._scopes:
             self._refuse(start.stream, _unseen(start, Reason.OVERLOADED))
             return
         assembly = BodyAssembly(start=start)
--- /dev/null
+++ b/src/savorystand/trust/__init__.py
@@ -0,0 +1,1 @@
+"""Authentication of nodes and protection of their traffic."""
--- /dev/null
+++ b/src/savorystand/trust/certificates.py
@@ -0,0 +1,179 @@
+"""TLS contexts of a node, renewed when their files change."""
+
+from __future__ import annotations
+
+import ssl
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+from typing import final
+
+from logbook import Logger
+
+from savorystand.kernel.service import Service
+from savorystand.trust.errors import CertificateError
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskStatus
+
+    from savorystand.clock import Clock
+    from savorystand.settings.node import TlsSettings
+
+_CHECK_MS = 3000
+_log = Logger('savorystand')
+
+# Modification time in ns, size and inode of each file; the inode tells a
+# replacement that keeps the other two.
+_Stamps: TypeAlias = tuple[tuple[int, int, int], ...]
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class TlsContexts:
+    """The contexts made of one state of the files.
+
+    ``connect`` and ``accept`` are for peers and ask for a certificate of the
+    authority; ``callers`` asks clients for none.
+    """
+
+    connect: ssl.SSLContext
+    accept: ssl.SSLContext
+    callers: ssl.SSLContext
+
+
+class Certificates(Service):
+    """Holds the contexts for new connections; open ones keep theirs."""
+
+    __slots__ = ('_clock', '_stamps', '_tls', 'contexts')
+
+    def __init__(self, *, tls: TlsSettings, clock: Clock) -> None:
+        """Load the files of ``tls``.
+
+        Raises:
+            CertificateError: a file is missing or unusable.
+        """
+        self._tls = tls
+        self._clock = clock
+        self._stamps = _stamps(tls)
+        self.contexts = load_contexts(tls)
+
+    async def run(self, *, task_status: TaskStatus[None]) -> None:
+        """Check the files every 3 s until cancelled."""
+        task_status.started()
+        while True:
+            await self._clock.sleep(_CHECK_MS)
+            self.refresh()
+
+    def refresh(self) -> bool:
+        """Load the files if they have changed; return True if they had.
+
+        Files that are unusable, as in the middle of a replacement, leave the
+        contexts as they are and are tried again at the next check.
+        """
+        try:
+            stamps = _stamps(self._tls)
+            if stamps == self._stamps:
+                return False
+            contexts = load_contexts(self._tls)
+        except CertificateError as exc:
+            _log.error('event=certificates_refused why="{}"', exc)
+            return False
+        self._stamps = stamps
+        self.contexts = contexts
+        _log.info('event=certificates_reloaded file={}', self._tls.certificate)
+        return True
+
+    def for_listener(self) -> ssl.SSLContext:
+        """Return a context for a listener that keeps one for its lifetime.
+
+        Each handshake on it changes to the newest context for callers.
+        """
+        context = load_contexts(self._tls).callers
+        # OpenSSL calls this even if the client sends no server name.
+        context.sni_callback = self._use_newest
+        return context
+
+    def _use_newest(
+        self,
+        handshake: ssl.SSLObject,
+        server_name: str | None,
+        context: ssl.SSLContext,
+    ) -> None:
+        handshake.context = self.contexts.callers
+
+
+def load_contexts(tls: TlsSettings) -> TlsContexts:
+    """Return fresh contexts from the files.
+
+    Raises:
+        CertificateError: a file is missing or unusable.
+    """
+    connect = _context(ssl.PROTOCOL_TLS_CLIENT, tls)
+    # Peers are known by IP numbers that the authority does not certify; any
+    # node of the authority may hold any address.
+    connect.check_hostname = False
+    accept = _context(ssl.PROTOCOL_TLS_SERVER, tls)
+    accept.verify_mode = ssl.CERT_REQUIRED
+    for context in (connect, accept):
+        # Both ends are nodes, so that older versions are of no use.
+        context.minimum_version = ssl.TLSVersion.TLSv1_3
+        _trust(context, tls.authority)
+    callers = _context(ssl.PROTOCOL_TLS_SERVER, tls)
+    return TlsContexts(connect=connect, accept=accept, callers=callers)
+
+
+def authority_context(authority: Path) -> ssl.SSLContext:
+    """Return the context of a client without a certificate of its own.
+
+    Raises:
+        CertificateError: the authority's file is missing or unusable.
+    """
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.check_hostname = False
+    _trust(context, str(authority))
+    return context
+
+
+def _context(protocol: int, tls: TlsSettings) -> ssl.SSLContext:
+    context = ssl.SSLContext(protocol)
+    try:
+        # Without a password function, OpenSSL asks for one on the terminal.
+        context.load_cert_chain(tls.certificate, tls.key, password=str)
+    except (OSError, ValueError) as exc:
+        files = f'certificate {tls.certificate} or key {tls.key}'
+        raise CertificateError(f'{files}: {_cause(exc)}') from None
+    return context
+
+
+def _trust(context: ssl.SSLContext, authority: str) -> None:
+    try:
+        context.load_verify_locations(cafile=authority)
+    except (OSError, ValueError) as exc:
+        raise CertificateError(
+            f'authority {authority}: {_cause(exc)}',
+        ) from None
+
+
+def _cause(exc: Exception) -> str:
+    match exc:
+        case ssl.SSLError(reason=str() as reason):
+            return reason
+        case OSError(strerror=str() as text):
+            return text
+        case _:
+            return 'unusable'
+
+
+def _stamps(tls: TlsSettings) -> _Stamps:
+    return tuple(
+        _stamp(name) for name in (tls.certificate, tls.key, tls.authority)
+    )
+
+
+def _stamp(name: str) -> tuple[int, int, int]:
+    try:
+        stat = Path(name).stat()
+    except OSError as exc:
+        raise CertificateError(f'{name}: {exc.strerror}') from None
+    return stat.st_mtime_ns, stat.st_size, stat.st_ino
--- /dev/null
+++ b/src/savorystand/trust/network.py
@@ -0,0 +1,157 @@
+"""TLS between nodes, on top of any network."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import cast
+
+import anyio
+from anyio.streams.tls import TLSStream
+
+from savorystand.transport.network import Network
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from anyio.abc import ByteStream
+    from anyio.abc import SocketListener
+    from anyio.abc import TaskGroup
+    from anyio.abc import UDPSocket
+
+    from savorystand.trust.certificates import Certificates
+
+# The calling side gives up after 1 s with the whole connection attempt.
+_HANDSHAKE_SECONDS = 2
+# Handshakes in progress at a time; further connections are closed at once.
+MAX_HANDSHAKES = 256
+_HANDSHAKE_ERRORS = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+)
+
+
+class TlsNetwork(Network):
+    """Both ends of a connection show a certificate of the authority.
+
+    Datagrams are passed on as they are: membership authenticates them.
+    """
+
+    __slots__ = ('_certificates', '_inner')
+
+    def __init__(self, *, inner: Network, certificates: Certificates) -> None:
+        """Use the connections of ``inner``."""
+        self._inner = inner
+        self._certificates = certificates
+
+    async def connect(self, host: str, port: int) -> ByteStream:
+        """Open a connection and verify the peer.
+
+        Raises:
+            OSError: the peer is unreachable or shows no valid certificate.
+        """
+        stream = await self._inner.connect(host, port)
+        context = self._certificates.contexts.connect
+        return await _handshake(stream, context, server_side=False)
+
+    async def listen(self, host: str, port: int) -> SocketListener:
+        """Bind a listener that verifies its peers.
+
+        Raises:
+            OSError: the address is in use or not ours.
+        """
+        inner = await self._inner.listen(host, port)
+        listener = TlsListener(inner=inner, certificates=self._certificates)
+        return cast('SocketListener', listener)
+
+    async def datagrams(self, host: str, port: int) -> UDPSocket:
+        """Bind a UDP socket.
+
+        Raises:
+            OSError: the address is in use or not ours.
+        """
+        return await self._inner.datagrams(host, port)
+
+
+class TlsListener:
+    """Passes connections on once their peers are verified.
+
+    anyio's ``TLSListener`` keeps one context for its lifetime, sets no bound
+    on handshakes in progress and logs a traceback for each that fails.
+    """
+
+    __slots__ = ('_certificates', '_inner', '_pending', 'refused')
+
+    def __init__(
+        self,
+        *,
+        inner: SocketListener,
+        certificates: Certificates,
+    ) -> None:
+        """Accept the connections of ``inner``."""
+        self._inner = inner
+        self._certificates = certificates
+        self._pending = 0
+        # Connections whose peer was not verified, so far.
+        self.refused = 0
+
+    async def serve(
+        self,
+        accept: Callable[[ByteStream], Awaitable[None]],
+        task_group: TaskGroup | None = None,
+    ) -> None:
+        """Accept connections until cancelled."""
+
+        async def verified(stream: ByteStream) -> None:  # noqa: WPS430 - binds accept
+            secure = await self._accept(stream)
+            if secure is not None:
+                await accept(secure)
+
+        await self._inner.serve(verified, task_group)
+
+    async def aclose(self) -> None:
+        """Stop accepting."""
+        await self._inner.aclose()
+
+    async def _accept(self, stream: ByteStream) -> ByteStream | None:
+        if self._pending >= MAX_HANDSHAKES:
+            self.refused += 1
+            await anyio.aclose_forcefully(stream)
+            return None
+        self._pending += 1
+        context = self._certificates.contexts.accept
+        try:
+            with anyio.fail_after(_HANDSHAKE_SECONDS):
+                return await _handshake(stream, context, server_side=True)
+        except OSError:
+            self.refused += 1
+            return None
+        finally:
+            self._pending -= 1
+
+
+async def _handshake(
+    stream: ByteStream,
+    context: ssl.SSLContext,
+    *,
+    server_side: bool,
+) -> ByteStream:
+    try:
+        return await TLSStream.wrap(
+            stream,
+            server_side=server_side,
+            ssl_context=context,
+            # Frames and bodies carry their lengths, so that a cut is noticed
+            # without the closing handshake, which a silent peer would delay.
+            standard_compatible=False,
+        )
+    except _HANDSHAKE_ERRORS as exc:
+        await anyio.aclose_forcefully(stream)
+        cause = str(exc) or type(exc).__name__
+        raise OSError(f'TLS handshake: {cause}') from exc
+    except BaseException:
+        await anyio.aclose_forcefully(stream)
+        raise
--- /dev/null
+++ b/src/savorystand/trust/seal.py
@@ -0,0 +1,38 @@
+"""Authentication of membership datagrams."""
+
+from __future__ import annotations
+
+import hmac
+
+# HMAC-SHA-256 may be truncated to half its length (RFC 2104, section 5).
+TAG_BYTES = 16
+_HASH = 'sha256'
+# Separates this use of the administration key from that as bearer token.
+_LABEL = b'savorystand membership datagram 1'
+
+
+class DatagramSeal:
+    """Adds a tag that only holders of the administration key can make."""
+
+    __slots__ = ('_key', 'wrong')
+
+    def __init__(self, *, admin_key: str) -> None:
+        """Derive the key of the tags from ``admin_key``."""
+        self._key = hmac.digest(admin_key.encode(), _LABEL, _HASH)
+        # Datagrams without the right tag, so far.
+        self.wrong = 0
+
+    def seal(self, payload: bytes) -> bytes:
+        """Return the payload followed by its tag."""
+        return payload + self._tag(payload)
+
+    def open(self, datagram: bytes) -> bytes | None:
+        """Return the payload, or None if the tag is wrong or missing."""
+        payload = datagram[:-TAG_BYTES]
+        if hmac.compare_digest(self._tag(payload), datagram[-TAG_BYTES:]):
+            return payload
+        self.wrong += 1
+        return None
+
+    def _tag(self, payload: bytes) -> bytes:
+        return hmac.digest(self._key, payload, _HASH)[:TAG_BYTES]
--- a/src/savorystand/wire/codec.py
+++ b/src/savorystand/wire/codec.py
@@ -24,6 +24,8 @@
 Message: TypeAlias = Any
 
 MAX_FRAME_BYTES = 65536
+MAX_HEADERS = 100
+_CALL_PARTS = ('call', 'answer', 'chunk', 'refused', 'cancel', 'ping')
 _LENGTH = struct.Struct('!I')
 _DECODE_ERRORS = (
     EOFError,
@@ -79,6 +81,29 @@
         raise FrameError(f'incomplete {type(message).__name__}: {exc}') from exc
 
 
+def _require_parts(frame: Message) -> None:
+    # Control frames are checked by what answers them.
+    for name in _CALL_PARTS:
+        part = getattr(frame, name)
+        if part is not None:
+            require_fields(part)
+    if frame.call is not None:
+        require_fields(frame.call.context)
+        _require_headers(frame.call.headers)
+    if frame.answer is not None:
+        require_fields(frame.answer.load)
+        _require_headers(frame.answer.headers)
+    if frame.refused is not None and frame.refused.load is not None:
+        require_fields(frame.refused.load)
+
+
+def _require_headers(headers: list[Message]) -> None:
+    if len(headers) > MAX_HEADERS:
+        raise FrameError(f'{len(headers)} headers exceed {MAX_HEADERS}')
+    for header in headers:
+        require_fields(header)
+
+
 def encode_frame(frame: Message) -> bytes:
     """Return length and body of a frame, ready to be written.
 
@@ -117,4 +142,6 @@
                 return
             body = bytes(self._pending[_LENGTH.size : end])
             del self._pending[:end]
-            yield decode_struct(Frame(), body)
+            frame = decode_struct(Frame(), body)
+            _require_parts(frame)
+            yield frame
