--- a/src/savorystand/membership/membership.py
+++ b/src/savorystand/membership/membership.py
@@ -22,6 +22,7 @@
 from savorystand.transport.address import PeerAddress
 from savorystand.transport.network import Network
 from savorystand.transport.peers import PeerTransport
+from savorystand.trust.seal import DatagramSeal
 from savorystand.wire.codec import Message
 from savorystand.wire.gen.wire import ttypes
 
@@ -75,7 +76,8 @@
             clock=self._clock,
             rng=rng,
         )
-        self._port = DatagramPort()
+        seal = kernel.find('datagram seal', DatagramSeal)
+        self._port = DatagramPort(seal=seal)
         self._swim = Swim(
             members=self._members,
             clock=self._clock,
