Measure overhead with a light client on deployed nodes

Cause: the command measured lab nodes, whose network for faults adds a task and a loop turn to each write, with a client on httpcore. On asyncio's own loop, accepted sockets of the HTTP listener lacked TCP_NODELAY, so that an answer in two writes took the 40 ms of a delayed acknowledgement: 44.7 ms added at one connection. Ticks of 10 ms were too coarse for a round.

Change: overhead runs nodes as deployed (variant plain), with a raw HTTP/1.1 client, in five rounds that alternate between 1 and 16 connections, and takes nanoseconds of processor time of each node from its processor-time clock. Lab nodes, targets and the lab itself run on uvloop, as the deployed node does.

--- a/src/savorystand/lab/children.py
+++ b/src/savorystand/lab/children.py
@@ -7,6 +7,7 @@
 import subprocess  # noqa: S404 - the lab starts processes, nodes do not
 import sys
 import threading
+import time
 from pathlib import Path
 
 import anyio
@@ -14,9 +15,9 @@
 _CHILD = 'SAVORYSTAND_LAB_CHILD'
 _POLL_SECONDS = 0.02
 _KIB_PER_MIB = 1024
-# Places after the command's name in /proc/PID/stat (proc(5)).
-_USER_TICKS = 11
-_SYSTEM_TICKS = 12
+# Parts of the number of a processor-time clock (CPUCLOCK_SCHED in Linux).
+_CLOCK_SHIFT = 3
+_SCHEDULED_TIME = 2
 
 
 class Child:
@@ -87,13 +88,13 @@
 
     def cpu_seconds(self) -> float:
         """Return the processor time used, 0 of an ended process."""
+        # The clock of a process (clock_getcpuclockid(3)) counts nanoseconds,
+        # /proc/PID/stat only ticks of 10 ms.
+        clock = (~self._process.pid << _CLOCK_SHIFT) | _SCHEDULED_TIME
         try:
-            text = self._proc('stat').read_text()
+            return time.clock_gettime(clock)
         except OSError:
             return 0
-        fields = text.rpartition(')')[2].split()
-        ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
-        return ticks / os.sysconf('SC_CLK_TCK')
 
     def _proc(self, name: str) -> Path:
         return Path('/proc', str(self._process.pid), name)
--- a/src/savorystand/lab/commands/running.py
+++ b/src/savorystand/lab/commands/running.py
@@ -26,7 +26,7 @@
         click.ClickException: the run failed.
         click.Abort: it was stopped.
     """
-    stopped = anyio.run(_run, work)
+    stopped = anyio.run(_run, work, backend_options={'use_uvloop': True})
     if stopped:
         raise click.Abort
 
--- a/src/savorystand/lab/commands/targets.py
+++ b/src/savorystand/lab/commands/targets.py
@@ -22,4 +22,5 @@
 def targets(description: Path, control: Address) -> None:
     """Run the stand-in targets of a JSON DESCRIPTION in one process."""
     process = TargetProcess(descriptions=targets_from(description))
-    anyio.run(process.run, control)
+    # See the node's command for the reason.
+    anyio.run(process.run, control, backend_options={'use_uvloop': True})
--- a/src/savorystand/lab/deployments/estate.py
+++ b/src/savorystand/lab/deployments/estate.py
@@ -44,6 +44,7 @@
         '_baseline',
         '_delayed',
         '_directory',
+        '_plain',
         '_seed',
         'clock',
         'deployment',
@@ -61,15 +62,18 @@
         seed: int,
         baseline: bool,
         delayed: bool = True,
+        plain: bool = False,
         workers: tuple[str, ...] = (),
     ) -> None:
         """Keep settings and logs in ``directory``.
 
-        ``workers`` limits the estate to the nodes of these names.
+        ``workers`` limits the estate to the nodes of these names; ``plain``
+        nodes are the deployed ones, in whose network no faults can be set.
         """
         self._baseline = baseline
         self._delayed = delayed
         self._directory = directory
+        self._plain = plain
         self._seed = seed
         self.clock = Clock()
         self.deployment = deployment
@@ -137,7 +141,9 @@
         arguments += ['--control', place.control.text()]
         arguments += ['--delays', json.dumps(delays)]
         if self._baseline:
-            arguments.append('--baseline')
+            arguments += ['--variant', 'baseline']
+        if self._plain:
+            arguments += ['--variant', 'plain']
         self.processes.start(place.name, arguments)
 
     async def fault(self, nodes: list[NodePlace], **order: Any) -> list[Any]:
--- a/src/savorystand/lab/experiments/overhead.py
+++ b/src/savorystand/lab/experiments/overhead.py
@@ -1,48 +1,66 @@
-"""Latency that two nodes add to a call."""
+"""Latency and processor time that two nodes add to a call."""
 
 from __future__ import annotations
 
 import tempfile
-from collections.abc import Awaitable
-from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
 from pathlib import Path
+from statistics import median
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeAlias
+from typing import final
 
 import anyio
 
-from savorystand.clock import MS_PER_SECOND
 from savorystand.clock import Clock
 from savorystand.lab.callers.accounting import percentile
 from savorystand.lab.deployments.estate import Estate
 from savorystand.lab.deployments.loading import deployment_of
-from savorystand.lab.http_client import HttpClient
+from savorystand.lab.raw_client import RawClient
 
 if TYPE_CHECKING:
     from savorystand.lab.deployments.deployment import Deployment
-    from savorystand.settings.node import Address
 
 Report: TypeAlias = dict[str, Any]
-_Send: TypeAlias = Callable[[], Awaitable[object]]
+Figures: TypeAlias = dict[str, float]
 
-_CALLS = 1500
-_WARM_UP = 100
+_US_PER_SECOND = 1000000
+_CALLS = 1600
+_WARM_UP = 800
+_ROUNDS = 5
 _CONNECTIONS = (1, 16)
 _P50 = 0.5
 _P99 = 0.99
 _ROUTE = 'bins'
-_WORKERS = ('binwatch-0', 'routebook-0')
+_ENTRY = 'routebook-0'
+_TARGET = 'binwatch-0'
+
+
+@final
+@dataclass(slots=True, kw_only=True)
+class _Samples:
+    """Latencies in milliseconds; each pair was measured back to back."""
+
+    full: list[float] = field(default_factory=list)
+    direct: list[float] = field(default_factory=list)
 
 
 class Overhead:
-    """Interleaves calls through two nodes with direct calls."""
+    """Interleaves calls through two nodes with direct calls.
 
-    __slots__ = ('_clock', 'report')
+    The nodes run as deployed, without the network that injects faults.
+    Rounds alternate between the numbers of connections, so that the spread
+    over the rounds shows the noise of the machine.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ('_clock', '_rounds', 'report')
+
+    def __init__(self, *, rounds: int = _ROUNDS) -> None:
         """Prepare; ``run`` fills ``report``."""
         self._clock = Clock()
+        self._rounds = rounds
         self.report: Report = {}
 
     async def run(self) -> None:
@@ -50,6 +68,7 @@
 
         Raises:
             EstateError: a process failed.
+            OSError: a call failed.
         """
         with tempfile.TemporaryDirectory(prefix='savorystand-') as name:
             estate = Estate(
@@ -57,74 +76,117 @@
                 directory=Path(name),
                 seed=1,
                 baseline=False,
-                delayed=False,
-                workers=_WORKERS,
+                plain=True,
+                workers=(_ENTRY, _TARGET),
             )
             async with estate:
                 await self._measure(estate)
 
     async def _measure(self, estate: Estate) -> None:
-        path = estate.deployment.route(_ROUTE).path
-        entry = estate.node(_WORKERS[1])
-        target = estate.node(_WORKERS[0]).target
+        rounds: dict[int, list[Figures]] = {
+            number: [] for number in _CONNECTIONS
+        }
         for number in _CONNECTIONS:
-            await self._compare(path, entry.callers, target, _WARM_UP, number)
-            before = estate.processes.cpu_seconds(estate.node_names)
-            full, direct = await self._compare(
-                path, entry.callers, target, _CALLS, number
-            )
-            spent = estate.processes.cpu_seconds(estate.node_names) - before
-            self.report[f'connections_{number}'] = _figures(full, direct, spent)
+            await self._compare(estate, _WARM_UP, number)
+        for _ in range(self._rounds):
+            for number, figures in rounds.items():
+                figures.append(await self._round(estate, number))
+        for number, figures in rounds.items():
+            self.report[f'connections_{number}'] = {
+                'median': _medians(figures),
+                'rounds': figures,
+            }
         self.report['node_resident_mib'] = estate.processes.resident_mib(
             estate.node_names
         )
 
+    async def _round(self, estate: Estate, number: int) -> Figures:
+        entry_before, target_before = _spent(estate)
+        samples = await self._compare(estate, _CALLS, number)
+        entry_after, target_after = _spent(estate)
+        return _figures(
+            samples,
+            entry_seconds=entry_after - entry_before,
+            target_seconds=target_after - target_before,
+        )
+
     async def _compare(
         self,
-        path: str,
-        entry: Address,
-        target: Address,
+        estate: Estate,
         calls: int,
         connections: int,
-    ) -> tuple[list[float], list[float]]:
-        full: list[float] = []
-        direct: list[float] = []
-
-        async def work() -> None:  # noqa: WPS430 - one task a connection
-            through = HttpClient(address=entry)
-            straight = HttpClient(address=target)
-            for _ in range(calls // connections):
-                full.append(await self._time(through, path))
-                direct.append(await self._time(straight, path))
-
+    ) -> _Samples:
+        samples = _Samples()
         async with anyio.create_task_group() as tasks:
             for _ in range(connections):
-                tasks.start_soon(work)
-        return full, direct
+                tasks.start_soon(
+                    self._call_both, estate, calls // connections, samples
+                )
+        return samples
 
-    async def _time(self, client: HttpClient, path: str) -> float:
+    async def _call_both(
+        self,
+        estate: Estate,
+        calls: int,
+        samples: _Samples,
+    ) -> None:
+        path = estate.deployment.route(_ROUTE).path
+        entry = estate.node(_ENTRY).callers
+        target = estate.node(_TARGET).target
+        through = await RawClient.connect(entry, path)
+        straight = await RawClient.connect(target, path)
+        for _ in range(calls):
+            full_ms = await self._time(through)
+            samples.direct.append(await self._time(straight))
+            samples.full.append(full_ms)
+        await through.close()
+        await straight.close()
+
+    async def _time(self, client: RawClient) -> float:
         started = self._clock.now()
-        await client.send('GET', path)
+        await client.send()
         return self._clock.now() - started
 
 
+def _spent(estate: Estate) -> tuple[float, float]:
+    processes = estate.processes
+    return processes.cpu_seconds([_ENTRY]), processes.cpu_seconds([_TARGET])
+
+
 def _figures(
-    full: list[float], direct: list[float], node_seconds: float
-) -> dict[str, float]:
+    samples: _Samples,
+    *,
+    entry_seconds: float,
+    target_seconds: float,
+) -> Figures:
+    calls = len(samples.full)
     figures = {}
     for name, share in (('p50', _P50), ('p99', _P99)):
-        through = percentile(full, share)
-        straight = percentile(direct, share)
+        through = percentile(samples.full, share)
+        straight = percentile(samples.direct, share)
         figures[f'full_{name}_ms'] = through
         figures[f'direct_{name}_ms'] = straight
         figures[f'added_{name}_ms'] = round(through - straight, 3)
+    figures['entry_node_us_per_call'] = _microseconds(entry_seconds, calls)
+    figures['target_node_us_per_call'] = _microseconds(target_seconds, calls)
     # Both nodes on the path count.
     figures['calls_per_second_per_core'] = round(
-        len(full) / max(node_seconds, 1 / MS_PER_SECOND), 1
+        calls / (entry_seconds + target_seconds), 1
     )
     return figures
 
 
+def _microseconds(seconds: float, calls: int) -> float:
+    return round(seconds * _US_PER_SECOND / calls, 1)
+
+
+def _medians(rounds: list[Figures]) -> Figures:
+    return {
+        name: round(median(figures[name] for figures in rounds), 3)
+        for name in rounds[0]
+    }
+
+
 def _small() -> Deployment:
     """Return Tabua with lookups that take the target no time."""
     return deployment_of('tabua').with_mean(_ROUTE, 0)
