Talk to the target by a protocol of the event loop

Cause: a stream of anyio pauses and resumes reading around each response, enters a cancel scope for a checkpoint and takes an extra turn of the loop after each request; the deadline took a scope of its own.

Change: HttpConnection is an asyncio.Protocol, as uvicorn's is, and the deadline a timer. A call whose deadline has passed before the write is refused as not-run, where it was may-have-run. A connection that the target closed while idle is not used again.

--- a/src/savorystand/gateway/http_connection.py
+++ b/src/savorystand/gateway/http_connection.py
@@ -1,5 +1,9 @@
 """One HTTP/1.1 connection to the target.
 
+A protocol on the event loop's transport, as ``uvicorn`` has it towards
+callers: a stream of ``anyio`` pauses and resumes reading around each response
+and takes an extra turn of the loop after each request.
+
 ``httpcore`` spends about 0.5 ms of processor time on an exchange, most of it
 in its pure Python parser, which alone is the whole latency goal. ``httptools``,
 the parser that ``uvicorn`` uses, does the same in C; figures in
@@ -8,9 +12,11 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
 from typing import TYPE_CHECKING
+from typing import cast
 
-import anyio
 from httptools import HttpParserError
 from httptools import HttpResponseParser
 
@@ -19,11 +25,21 @@
 from savorystand.transport.conversion import MAX_BODY_BYTES
 
 if TYPE_CHECKING:
-    from anyio.abc import ByteStream
+    from savorystand.clock import Clock
 
-_RECEIVE_BYTES = 65536
 _MAX_HEADER_BYTES = 65536
 _FIRST_FINAL_STATUS = 200
+# Unacknowledged data older than this ends a connection (RFC 5482), so that
+# one that went silent fails within 2 s while a slow target does not.
+_USER_TIMEOUT_MS = 1500
+_KEEPALIVE_SECONDS = 1
+_SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_SECONDS),
+)
 
 
 class _ResponseReader:
@@ -54,6 +70,10 @@
         except HttpParserError as exc:
             raise TargetProtocolError(str(exc)) from exc
 
+    def on_message_begin(self) -> None:
+        if self.complete:
+            raise TargetProtocolError('a second response follows the first')
+
     def on_header(self, name: bytes, text: bytes) -> None:
         self._grow(len(name) + len(text), _MAX_HEADER_BYTES)
         decoded = (name.decode('latin-1').lower(), text.decode('latin-1'))
@@ -82,47 +102,106 @@
             raise TargetProtocolError(f'response exceeds {bound} bytes')
 
 
-class HttpConnection:
+class HttpConnection(asyncio.Protocol):
     """Sends one request at a time and reads its whole response."""
 
-    __slots__ = ('_reusable', '_stream')
+    __slots__ = ('_clock', '_done', '_reader', '_reusable', '_transport')
 
-    def __init__(self, *, stream: ByteStream) -> None:
-        """Use an open stream."""
-        self._stream = stream
+    def __init__(self, *, clock: Clock) -> None:
+        """Wait for the transport; see ``connect``."""
+        self._clock = clock
+        self._transport: asyncio.Transport | None = None
+        self._reader: _ResponseReader | None = None
+        self._done: asyncio.Future[None] | None = None
         self._reusable = True
 
+    @classmethod
+    async def connect(
+        cls, *, clock: Clock, host: str, port: int
+    ) -> HttpConnection:
+        """Open a connection.
+
+        Raises:
+            OSError: the target is unreachable or refuses.
+        """
+        loop = asyncio.get_running_loop()
+        _, conn = await loop.create_connection(
+            lambda: cls(clock=clock), host, port
+        )
+        return conn
+
     @property
     def reusable(self) -> bool:
         """Return True if another request may follow on this connection."""
         return self._reusable
 
-    async def exchange(self, request: bytes) -> Answer:
+    async def exchange(self, request: bytes, left_ms: float) -> Answer:
         """Send an encoded request and return the whole response.
 
         Raises:
             TargetProtocolError: the response is malformed, too long or cut.
-            anyio.BrokenResourceError: the connection broke.
+            TimeoutError: it is not whole after ``left_ms`` milliseconds.
+            OSError: the connection broke.
         """
+        if self._transport is None or not self._reusable:
+            raise TargetProtocolError('connection is closed')
         self._reusable = False
-        await self._stream.send(request)
         reader = _ResponseReader()
-        while not reader.complete:
-            reader.feed(await self._receive())
-        self._reusable = reader.keep_alive
+        done = asyncio.get_running_loop().create_future()
+        self._reader = reader
+        self._done = done
+        self._transport.write(request)
+        timer = self._clock.call_later(
+            left_ms, lambda: self._finish(TimeoutError())
+        )
+        try:
+            await done
+        finally:
+            timer.cancel()
+            self._reader = None
+        self._reusable = reader.keep_alive and not self._transport.is_closing()
         return Answer(
             status=reader.status,
             headers=tuple(reader.headers),
             body=b''.join(reader.parts),
         )
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close at once; the target sees it as cancellation."""
-        with anyio.CancelScope(shield=True):
-            await anyio.aclose_forcefully(self._stream)
-
-    async def _receive(self) -> bytes:
+        self._reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set the options of the socket."""
+        self._transport = cast('asyncio.Transport', transport)
+        raw = transport.get_extra_info('socket')
+        for level, option, setting in _SOCKET_OPTIONS:
+            raw.setsockopt(level, option, setting)
+
+    def data_received(self, received: bytes) -> None:
+        """Parse a part of the response."""
+        if self._reader is None:
+            # Nothing was asked: what follows would be taken for the answer.
+            self.close()
+            return
         try:
-            return await self._stream.receive(_RECEIVE_BYTES)
-        except anyio.EndOfStream as exc:
-            raise TargetProtocolError('connection closed early') from exc
+            self._reader.feed(received)
+        except TargetProtocolError as exc:
+            self._finish(exc)
+            return
+        if self._reader.complete:
+            self._finish(None)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the exchange in progress."""
+        self._reusable = False
+        self._finish(exc or TargetProtocolError('connection closed early'))
+
+    def _finish(self, failure: Exception | None) -> None:
+        if self._done is None or self._done.done():
+            return
+        if failure is None:
+            self._done.set_result(None)
+        else:
+            self._done.set_exception(failure)
--- a/src/savorystand/gateway/target_client.py
+++ b/src/savorystand/gateway/target_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -24,28 +23,12 @@
     from savorystand.call import Outcome
     from savorystand.clock import Clock
 
-# Unacknowledged data older than this ends a connection (RFC 5482), so that
-# one that went silent fails within 2 s while a slow target does not.
-_USER_TIMEOUT_MS = 1500
-_KEEPALIVE_SECONDS = 1
-_SOCKET_OPTIONS = (
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_SECONDS),
-)
 _FAILED_STATUSES = frozenset((502, 503, 504))
 _NOT_RUN = 'not-run'
 # Targets may close idle connections; one that rested longer is not trusted
 # with a request, which would then fail as may-have-run.
 _MAX_IDLE_MS = 3000
-_BROKEN = (
-    OSError,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    TargetProtocolError,
-)
+_BROKEN = (OSError, TargetProtocolError)
 
 
 class _Progress:
@@ -75,10 +58,8 @@
     async def send(self, call: Call, execution_id: str) -> Outcome:
         """Run a call at the target, as the execution of that id."""
         progress = _Progress()
-        left_ms = call.context.deadline_ms - self._clock.now()
         try:
-            with anyio.fail_after(max(0, left_ms) / MS_PER_SECOND):
-                answer = await self._exchange(call, execution_id, progress)
+            answer = await self._exchange(call, execution_id, progress)
         except TimeoutError:
             return _failure(progress, Reason.DEADLINE, 'target')
         except _BROKEN as exc:
@@ -91,43 +72,59 @@
         execution_id: str,
         progress: _Progress,
     ) -> Answer:
-        conn = await self._take()
+        conn = self._take() or await self._connect(call)
         try:
-            request = self._encode(call, execution_id)
-            # Set before the write is awaited: a cancellation inside it
-            # leaves the request in an unknown state.
-            progress.written = True
-            answer = await conn.exchange(request)
+            return await self._send_on(conn, call, execution_id, progress)
         finally:
-            await self._give_back(conn)
-        return answer
+            self._give_back(conn)
 
-    async def _take(self) -> HttpConnection:
+    async def _send_on(
+        self,
+        conn: HttpConnection,
+        call: Call,
+        execution_id: str,
+        progress: _Progress,
+    ) -> Answer:
+        left_ms = self._left_ms(call)
+        if left_ms <= 0:
+            raise TimeoutError
+        request = self._encode(call, execution_id, left_ms)
+        # Set before the write: a failure inside it leaves the request in an
+        # unknown state.
+        progress.written = True
+        return await conn.exchange(request, left_ms)
+
+    def _take(self) -> HttpConnection | None:
         while self._free:
             rested_since, conn = self._free.pop()
-            if self._clock.now() - rested_since < _MAX_IDLE_MS:
+            rested_ms = self._clock.now() - rested_since
+            if conn.reusable and rested_ms < _MAX_IDLE_MS:
                 return conn
-            await conn.close()
-        stream = await anyio.connect_tcp(self._host, self._port)
-        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        for level, option, setting in _SOCKET_OPTIONS:
-            raw.setsockopt(level, option, setting)
-        return HttpConnection(stream=stream)
-
-    async def _give_back(self, conn: HttpConnection) -> None:
+            conn.close()
+        return None
+
+    async def _connect(self, call: Call) -> HttpConnection:
+        with anyio.fail_after(max(0, self._left_ms(call)) / MS_PER_SECOND):
+            return await HttpConnection.connect(
+                clock=self._clock, host=self._host, port=self._port
+            )
+
+    def _give_back(self, conn: HttpConnection) -> None:
         if conn.reusable:
             self._free.append((self._clock.now(), conn))
         else:
-            await conn.close()
+            conn.close()
+
+    def _left_ms(self, call: Call) -> float:
+        return call.context.deadline_ms - self._clock.now()
 
-    def _encode(self, call: Call, execution_id: str) -> bytes:
-        left_ms = max(0, int(call.context.deadline_ms - self._clock.now()))
+    def _encode(self, call: Call, execution_id: str, left_ms: float) -> bytes:
         context = names.format_context(call.context, execution_id)
         lines = [
             f'{call.method} {call.path} HTTP/1.1',
             f'host: {self._host}:{self._port}',
             f'content-length: {len(call.body)}',
-            f'{names.DEADLINE}: {left_ms}',
+            f'{names.DEADLINE}: {int(left_ms)}',
             f'{names.CONTEXT}: {context}',
             *(f'{name}: {text}' for name, text in call.headers),
             '\r\n',
