Wait for the closed connection in the test of stray responses

Cause: the test slept 50 ms, so that on a slow machine the stray response could arrive after the next request.

Change: it waits until the target sees its connection closed; the assertions are the same.

--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -41,20 +41,27 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
-        while await reader.readline():
-            await reader.readuntil(b'\r\n\r\n')
-            self.requests += 1
-            self.seen.set()
-            script = self.scripts.pop(0)
-            for chunk in script:
-                writer.write(chunk)
-                await writer.drain()
-                await asyncio.sleep(0)
-            if script and script[-1] == b'':
-                break
+        try:
+            while await reader.readline():
+                await reader.readuntil(b'\r\n\r\n')
+                if not await self._answer(writer):
+                    break
+        except ConnectionError:
+            # An aborted connection may be reset instead of closed.
+            writer.close()
         self.gone.set()
         writer.close()
 
+    async def _answer(self, writer: asyncio.StreamWriter) -> bool:
+        self.requests += 1
+        self.seen.set()
+        script = self.scripts.pop(0)
+        for chunk in script:
+            writer.write(chunk)
+            await writer.drain()
+            await asyncio.sleep(0)
+        return not script or script[-1] != b''
+
 
 @asynccontextmanager
 async def _client(target: _Target) -> AsyncIterator[TargetClient]:
@@ -100,7 +107,9 @@
     target = _Target((_WHOLE, _STRAY), (_WHOLE,))
     async with _client(target) as client:
         await _send(client)
-        await anyio.sleep(0.05)
+        # The client closes the connection that brought the stray response.
+        with anyio.fail_after(5):
+            await target.gone.wait()
         assert (await _send(client)).ok.body == b'whole'
         target.scripts += [(_WHOLE + _STRAY,), (_WHOLE,)]
         assert isinstance((await _send(client)).error, MayHaveRun)
