--- a/src/savorystand/clock.py
+++ b/src/savorystand/clock.py
@@ -48,7 +48,7 @@
     def call_later(self, ms: float, callback: Callable[[], object]) -> Timer:
         """Call ``callback`` in ``ms`` milliseconds, outside of any task.
 
-        A timer costs a tenth of a cancel scope or task that waits as long.
+        Cheaper than a cancel scope or a task that waits as long.
         """
         loop = asyncio.get_running_loop()
         return loop.call_later(ms / MS_PER_SECOND, callback)
--- a/src/savorystand/dispatch/hedge.py
+++ b/src/savorystand/dispatch/hedge.py
@@ -42,7 +42,7 @@
         async with anyio.create_task_group() as tasks:
             # Few attempts are slow enough for a second one, so that its task
             # is started by a timer: one that sleeps costs each call about
-            # a tenth of the node's processor time.
+            # a fifth of the entry node's processor time.
             timer = self._clock.call_later(
                 self._delay_ms,
                 lambda: self._start_second(second, tasks),
--- a/src/savorystand/gateway/http_connection.py
+++ b/src/savorystand/gateway/http_connection.py
@@ -4,10 +4,9 @@
 callers: a stream of ``anyio`` pauses and resumes reading around each response
 and takes an extra turn of the loop after each request.
 
-``httpcore`` spends about 0.5 ms of processor time on an exchange, most of it
-in its pure Python parser, which alone is the whole latency goal. ``httptools``,
-the parser that ``uvicorn`` uses, does the same in C; figures in
-docs/decisions/latency.md.
+``httpcore``, with a parser in Python, spends about 0.3 ms of processor time on
+an exchange, more than half of the latency goal. With ``httptools``, the parser
+that ``uvicorn`` uses, it is a tenth; figures in docs/decisions/latency.md.
 """
 
 from __future__ import annotations
