Do not deny runs of keys of an earlier process

Cause: a replaced node listens on the address of the earlier one. A peer that does not know of the replacement yet forwards issued keys there, and the new process refused them with not-run, key-required, although the earlier one may have run the request.

Change: the home answers home-lost for keys that name another node.

Result: the verdict is true; a test sends a key of the earlier process.

--- a/src/savorystand/deduplication/runner.py
+++ b/src/savorystand/deduplication/runner.py
@@ -124,6 +124,10 @@
         return await self._serve_issued(call, issued)
 
     async def _serve_issued(self, call: Call, key: IssuedKey) -> Outcome:
+        if key.node_id != self._node_id:
+            # Sent to an earlier life of the process at this address, which
+            # may have run the request.
+            return _unknown(call, Reason.HOME_LOST, key.node_id)
         if not self.issuer.verify(key):
             detail = 'the key was not issued by this node'
             return Error(NotRun(reason=Reason.KEY_REQUIRED, detail=detail))
--- a/tests/deduplication/test_runner.py
+++ b/tests/deduplication/test_runner.py
@@ -259,11 +259,7 @@
         """Belong to the protocol of the directory."""
 
 
-async def _send(estate: Estate, step: SendCall) -> None:
-    node = estate.nodes[step.node]
-    key = estate.keys[step.key]
-    first = step.declared and key not in estate.sent
-    estate.sent.add(key)
+def _call(key: str, *, first: bool) -> Call:
     context = CallContext(
         request_id='r',
         execution_id='',
@@ -271,7 +267,7 @@
         retries_left=2,
         importance=Importance.CRITICAL,
     )
-    call = Call(
+    return Call(
         context=context,
         route=_ROUTE,
         method='POST',
@@ -281,7 +277,14 @@
         key=key,
         first=first,
     )
-    match await node.runner.call(call):
+
+
+async def _send(estate: Estate, step: SendCall) -> None:
+    node = estate.nodes[step.node]
+    key = estate.keys[step.key]
+    first = step.declared and key not in estate.sent
+    estate.sent.add(key)
+    match await node.runner.call(_call(key, first=first)):
         case Result(tag='ok', ok=answer):
             assert answer == _ANSWER
             assert estate.started[key] == 1
@@ -335,3 +338,22 @@
 def test_request_runs_at_most_once(steps: list[Step]) -> None:
     """No interleaving of faults runs a key twice or makes a verdict false."""
     anyio.run(_play, steps)
+
+
+async def _send_to_replaced_home() -> Outcome:
+    async with anyio.create_task_group() as tasks:
+        estate = Estate(tasks=tasks)
+        await estate.start()
+        await estate.replace(0)
+        home = estate.nodes[0].runner
+        # The address of a replaced home is that of the key's home.
+        outcome = await home.serve_home(_call(estate.keys[0], first=False))
+        tasks.cancel_scope.cancel()
+    return outcome
+
+
+def test_replaced_home_does_not_deny_that_a_key_has_run() -> None:
+    """The earlier process at the address may have run the request (P4)."""
+    outcome = anyio.run(_send_to_replaced_home)
+    assert isinstance(outcome.error, MayHaveRun)
+    assert outcome.error.reason is Reason.HOME_LOST
