Take no work before the target announces itself

Cause: admission was open from the start of a process. After a target had left and its node was replaced, peers with old records of the address sent work that the new process passed on to the leaving target, also after 3 s.

Change: the own pool closes admission until the target announces itself.

Result: such calls are refused with draining and go elsewhere; a test calls a node without an announced target. The test double registers admission before the own pool, as the builder does.

--- a/src/savorystand/dispatch/own_pool.py
+++ b/src/savorystand/dispatch/own_pool.py
@@ -26,11 +26,14 @@
     __slots__ = ('_failures', '_kernel', '_pool', '_serving')
 
     def __init__(self, *, kernel: Kernel) -> None:
-        """Start without a target."""
+        """Start without a target, and take no work for it."""
         self._kernel = kernel
         self._pool = ''
         self._serving = False
         self._failures = 0
+        # Peers may still route to an earlier life of this process, whose
+        # target has left since.
+        kernel.find('admission', AdmissionQueue).close_to_new_work()
         kernel.find('tables', TableHolder).watch(self._follow)
 
     def announce(self, pool: str) -> None:
--- a/tests/dispatch/test_attempts.py
+++ b/tests/dispatch/test_attempts.py
@@ -13,6 +13,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from savorystand.admission.queue import AdmissionQueue
 from savorystand.call import Answer
 from savorystand.clock import ManualClock
 from savorystand.dispatch.attempts import Attempts
@@ -62,10 +63,10 @@
         self.kernel.register('clock', self.clock)
         self.kernel.register('membership', FakeDirectory(members))
         self.kernel.register('tables', TableHolder())
+        self.kernel.register('admission', BaselineAdmission(clock=self.clock))
         self.kernel.register('own pool', OwnPool(kernel=self.kernel))
         self.kernel.register('retry', RetryPolicy())
         self.kernel.register('executions', ExecutionLedger())
-        self.kernel.register('admission', BaselineAdmission(clock=self.clock))
         self.router = Router(kernel=self.kernel, rng=random.Random(3))
         self.kernel.register('routing', self.router)
         self.kernel.register('peers', self)
@@ -272,3 +273,17 @@
     directory.listed = [make_member('a'), make_member('bb')]
     outcome = await node.attempts.run(make_call())
     assert isinstance(outcome.error, MayHaveRun)
+
+
+@pytest.mark.anyio
+async def test_node_takes_no_work_before_its_target_announces_itself() -> None:
+    """Peers may still call an earlier life of a leaving target's node (P6)."""
+    kernel = Kernel()
+    kernel.register('tables', TableHolder())
+    kernel.register('clock', ManualClock())
+    queue = AdmissionQueue(clock=kernel.find('clock', ManualClock))
+    kernel.register('admission', queue)
+    kernel.register('executions', ExecutionLedger())
+    kernel.register('own pool', OwnPool(kernel=kernel))
+    outcome = await Inbound(kernel=kernel).serve(make_call())
+    assert outcome.error.reason is Reason.DRAINING
