Fuzz whole nodes against an oracle

Cause: the promises were tested for each part, and not for whole nodes under faults that meet.

Change: savorystand-lab fuzz plays random steps on five real kernels with fakes for target, directory, store and network, on an event loop whose timers fire at once. TargetClient gets a method that opens a connection, which the fuzzer replaces by a memory stream.

--- a/src/savorystand/gateway/target_client.py
+++ b/src/savorystand/gateway/target_client.py
@@ -19,6 +19,8 @@
 from savorystand.verdict import Reason
 
 if TYPE_CHECKING:
+    from anyio.abc import ByteStream
+
     from savorystand.call import Answer
     from savorystand.call import Call
     from savorystand.call import Outcome
@@ -108,11 +110,14 @@
             if self._clock.now() - rested_since < _MAX_IDLE_MS:
                 return conn
             await conn.close()
+        return HttpConnection(stream=await self._connect())
+
+    async def _connect(self) -> ByteStream:
         stream = await anyio.connect_tcp(self._host, self._port)
         raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         for level, option, setting in _SOCKET_OPTIONS:
             raw.setsockopt(level, option, setting)
-        return HttpConnection(stream=stream)
+        return stream
 
     async def _give_back(self, conn: HttpConnection) -> None:
         if conn.reusable:
--- a/src/savorystand/lab/application.py
+++ b/src/savorystand/lab/application.py
@@ -7,6 +7,7 @@
 from savorystand.lab.children import stop_with_parent
 from savorystand.lab.commands.callers import callers
 from savorystand.lab.commands.demo import demo
+from savorystand.lab.commands.fuzz import fuzz
 from savorystand.lab.commands.node import node
 from savorystand.lab.commands.overhead import overhead
 from savorystand.lab.commands.platform import platform
@@ -22,6 +23,7 @@
 
 main.add_command(callers)
 main.add_command(demo)
+main.add_command(fuzz)
 main.add_command(node)
 main.add_command(overhead)
 main.add_command(platform)
--- /dev/null
+++ b/src/savorystand/lab/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of whole nodes against an oracle."""
--- /dev/null
+++ b/src/savorystand/lab/fuzz/directory.py
@@ -0,0 +1,185 @@
+"""A membership directory whose news are late, lost or wrong."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import final
+
+import anyio
+
+from savorystand.clock import MS_PER_SECOND
+from savorystand.membership.member import Member
+from savorystand.membership.member import MemberState
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from anyio.abc import TaskGroup
+
+    from savorystand.transport.address import PeerAddress
+    from savorystand.wire.codec import Message
+
+_SPREAD_MS = 600
+_LOST_SHARE = 0.2
+_BELIEVED_SHARE = 0.5
+_REPEAT_MS = 2500
+
+
+class MemberView:
+    """The records that one node knows."""
+
+    def __init__(self, *, own: Member) -> None:
+        """Know the own record only."""
+        self._own = own
+        self._known: dict[str, Member] = {}
+
+    def myself(self) -> Member:
+        """Return the record of this node."""
+        return self._own
+
+    def serving(self, pool: str) -> list[Member]:
+        """Return the members of a pool that may get new work."""
+        return [
+            member
+            for member in self.members()
+            if member.pool == pool and member.state == MemberState.SERVING
+        ]
+
+    def lookup(self, node_id: str) -> Member | None:
+        """Return the member of that node id, whatever its state."""
+        if node_id == self._own.peer.node_id:
+            return self._own
+        return self._known.get(node_id)
+
+    def members(self) -> Iterable[Member]:
+        """Return all known members."""
+        return [self._own, *self._known.values()]
+
+    def suspect(self, node_id: str) -> None:
+        """Believe a member dead until it says otherwise."""
+        member = self._known.get(node_id)
+        if member is not None:
+            self._known[node_id] = replace(member, state=MemberState.DEAD)
+
+    def merge(self, member: Member) -> bool:
+        """Take a record in; return True if its table revision is news.
+
+        The higher version wins, then the higher state.
+        """
+        node_id = member.peer.node_id
+        known = self._known.get(node_id)
+        if known is None or _rank(member) > _rank(known):
+            self._known[node_id] = member
+        return known is None or member.revision > known.revision
+
+
+@final
+class FuzzDirectory(MemberView):
+    """One node's view of the members.
+
+    The network between directories is ``reaches``; what is lost on it arrives
+    with a later exchange, unless the directory was told to stay behind.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: Member,
+        rng: random.Random,
+        others: dict[str, FuzzDirectory],
+        reaches: Callable[[str, str], bool],
+        tasks: TaskGroup,
+    ) -> None:
+        """Join ``others``, the directories of all live nodes by host."""
+        super().__init__(own=own)
+        self._rng = rng
+        self._others = others
+        self._reaches = reaches
+        self._tasks = tasks
+        self._observers: list[Callable[[int, PeerAddress], None]] = []
+        self._answer: Callable[[Message], Message | None] | None = None
+        # Until then no news is taken in.
+        self.stale = False
+
+    async def run(self) -> None:
+        """Exchange all records with others now and then."""
+        while True:
+            self.spread()
+            await anyio.sleep(_REPEAT_MS / MS_PER_SECOND)
+
+    def announce(self, pool: str) -> None:
+        """Say that the own target serves ``pool`` from now on."""
+        self._declare(replace(self._own, state=MemberState.SERVING, pool=pool))
+
+    def leave(self) -> None:
+        """Say that the own target takes no new work from now on."""
+        self._declare(replace(self._own, state=MemberState.LEAVING))
+
+    def observe_failure(self, peer: PeerAddress) -> None:
+        """Believe a peer dead, half of the time."""
+        if self._rng.random() < _BELIEVED_SHARE:
+            self.suspect(peer.node_id)
+
+    def on_revision(
+        self,
+        observer: Callable[[int, PeerAddress], None],
+    ) -> None:
+        """Pass newer table revisions and the peer that has them on."""
+        self._observers.append(observer)
+
+    def set_revision(self, revision: int) -> None:
+        """Record the own table revision."""
+        self._declare(replace(self._own, revision=revision))
+
+    def answer_tables(
+        self,
+        answer: Callable[[Message], Message | None],
+    ) -> None:
+        """Let ``answer`` reply to the ``TablesPull`` frames of peers."""
+        self._answer = answer
+
+    def answer(self, frame: Message) -> Message | None:
+        """Return the reply to a control frame, if it has one."""
+        if frame.tables_pull is None or self._answer is None:
+            return None
+        return self._answer(frame)
+
+    def spread(self) -> None:
+        """Send all known records to the others; some are lost."""
+        for host in list(self._others):
+            if self._rng.random() > _LOST_SHARE:
+                self._tasks.start_soon(self._send, host, list(self.members()))
+
+    def hear(self, members: list[Member]) -> None:
+        """Take in records, and refute that this node is dead."""
+        if self.stale:
+            return
+        for member in members:
+            if member.peer.node_id != self._own.peer.node_id:
+                if self.merge(member):
+                    self._tell(member)
+            elif member.state == MemberState.DEAD:
+                self._declare(self._own)
+
+    async def _send(self, host: str, members: list[Member]) -> None:
+        delay_ms = self._rng.uniform(1, _SPREAD_MS)
+        await anyio.sleep(delay_ms / MS_PER_SECOND)
+        other = self._others.get(host)
+        if other is not None and self._reaches(self._own.peer.host, host):
+            other.hear(members)
+
+    def _declare(self, own: Member) -> None:
+        self._own = replace(own, version=self._own.version + 1)
+        self.spread()
+
+    def _tell(self, member: Member) -> None:
+        if member.revision:
+            for observer in self._observers:
+                observer(member.revision, member.peer)
+
+
+def _rank(member: Member) -> tuple[int, int]:
+    return member.version, member.state
--- /dev/null
+++ b/src/savorystand/lab/fuzz/editing.py
@@ -0,0 +1,80 @@
+"""Operators who change the tables at the same time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import final
+
+from savorystand.lab.fuzz.store import StoreClient
+from savorystand.platform.errors import StoreError
+from savorystand.tables.editor import TableEditor
+from savorystand.tables.edits import EditError
+from savorystand.tables.repository import TableRepository
+
+if TYPE_CHECKING:
+    import random
+
+    from savorystand.clock import Clock
+    from savorystand.lab.fuzz.oracle import Oracle
+    from savorystand.lab.fuzz.store import MemoryStore
+
+_ROUTES = (
+    ('lookup', 'GET /lookup', 'back', 'normal', 'true'),
+    ('browse', 'GET /browse', 'front', 'low', 'true'),
+    ('confirm', 'POST /confirm', 'back', 'critical', 'false'),
+    ('order', 'POST /order', 'front', 'high', 'false'),
+)
+
+# Share of the edits that are based on an older revision than the newest.
+_BEHIND_SHARE = 0.1
+
+
+@final
+class Editing:
+    """Edits on top of the newest revision or of an older one."""
+
+    def __init__(
+        self, *, store: MemoryStore, oracle: Oracle, clock: Clock
+    ) -> None:
+        """Edit the tables in ``store``; ``oracle`` hears of acceptance."""
+        client = StoreClient(store=store, reaches=lambda: True)
+        self._repository = TableRepository(store=client)
+        self._oracle = oracle
+        self._clock = clock
+
+    async def edit(self, rng: random.Random) -> None:
+        """Change the slots of a pool."""
+        editor = TableEditor(
+            repository=self._repository,
+            snapshot=None,
+            clock=self._clock,
+            draw_id=lambda: f'change-{rng.randrange(1 << 60)}',
+        )
+        try:
+            based_on = await self._repository.head_revision()
+            accepted = await editor.apply(
+                _routes(),
+                _pools(rng),
+                max(0, based_on - (rng.random() < _BEHIND_SHARE)),
+            )
+        except (EditError, StoreError) as exc:
+            self._oracle.note(f'edit failed: {type(exc).__name__}')
+            return
+        document = accepted.document
+        self._oracle.accept(document.revision, document.change_id)
+
+
+def _routes() -> str:
+    return '\n'.join(
+        f'[[route]]\nname = "{name}"\nmatch = "{match}"\npool = "{pool}"\n'
+        f'importance = "{importance}"\nidempotent = {idempotent}'
+        for name, match, pool, importance, idempotent in _ROUTES
+    )
+
+
+def _pools(rng: random.Random) -> str:
+    return '\n'.join(
+        f'[[pool]]\nname = "{name}"\nslots = {rng.choice((1, 2, 8))}\n'
+        'connections = 20'
+        for name in ('front', 'back')
+    )
--- /dev/null
+++ b/src/savorystand/lab/fuzz/http.py
@@ -0,0 +1,77 @@
+"""HTTP requests to a node's applications, without sockets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import final
+
+import anyio
+
+from savorystand.gateway import headers as names
+
+if TYPE_CHECKING:
+    from savorystand.call import Headers
+    from savorystand.gateway.application import HttpApplication
+
+
+@final
+@dataclass(slots=True, kw_only=True, eq=False)
+class Exchange:
+    """One request; ``done`` is set with the answer or the loss of it."""
+
+    method: str
+    path: str
+    headers: Headers = ()
+    body: bytes = b''
+    status: int = 0
+    answer_headers: Headers = ()
+    answer: bytes = b''
+    done: anyio.Event = field(default_factory=anyio.Event)
+    scope: dict[str, Any] = field(default_factory=dict)
+
+    async def run(self, app: HttpApplication) -> None:
+        """Let an application serve the request."""
+        path, _, query = self.path.partition('?')
+        self.scope.update(
+            type='http',
+            method=self.method,
+            raw_path=path.encode(),
+            query_string=query.encode(),
+            headers=[
+                (name.encode(), text.encode()) for name, text in self.headers
+            ],
+        )
+        try:
+            await app(self.scope, self._receive, self._send)
+        finally:
+            self.done.set()
+
+    def hang_up(self) -> None:
+        """Close the connection as a caller that waits no longer does."""
+        cancel = self.scope.get('savorystand.cancel')
+        if cancel is not None:
+            cancel()
+        self.status = 0
+        self.done.set()
+
+    def header(self, name: str) -> str:
+        """Return a header of the answer, empty if it has none."""
+        return names.header(self.answer_headers, name)
+
+    async def _receive(self) -> dict[str, Any]:
+        return {'type': 'http.request', 'body': self.body}
+
+    async def _send(self, message: dict[str, Any]) -> None:
+        if self.done.is_set():
+            return
+        if message['type'] == 'http.response.start':
+            self.status = message['status']
+            self.answer_headers = tuple(
+                (name.decode(), text.decode())
+                for name, text in message['headers']
+            )
+        else:
+            self.answer += message['body']
--- /dev/null
+++ b/src/savorystand/lab/fuzz/network.py
@@ -0,0 +1,135 @@
+"""The connections between the nodes of one run."""
+
+from __future__ import annotations
+
+import math
+import random
+from typing import TYPE_CHECKING
+from typing import cast
+from typing import final
+
+import anyio
+
+from savorystand.clock import MS_PER_SECOND
+from savorystand.lab.fuzz.streams import Connection
+from savorystand.transport.network import Network
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+
+    from anyio.abc import ByteStream
+    from anyio.abc import SocketListener
+
+_LATENCY_MS = 8
+_CUT_CONNECT_MS = 3000
+
+
+@final
+class MemoryListener:
+    """Accepts the connections to one address."""
+
+    def __init__(self, *, fabric: Fabric, host: str) -> None:
+        """Take connections to ``host`` until closed."""
+        self._fabric = fabric
+        self._host = host
+        sender, receiver = anyio.create_memory_object_stream[Connection](
+            math.inf
+        )
+        self._sender = sender
+        self._receiver = receiver
+
+    def open(self, connection: Connection) -> None:
+        """Hand a new connection to the serving task."""
+        self._sender.send_nowait(connection)
+
+    async def serve(
+        self,
+        accept: Callable[[ByteStream], Coroutine[None, None, None]],
+    ) -> None:
+        """Run ``accept`` for each connection until cancelled."""
+        self._fabric.listeners[self._host] = self
+        async with anyio.create_task_group() as tasks:
+            async for connection in self._receiver:
+                tasks.start_soon(accept, connection.server)
+
+
+@final
+class Fabric:
+    """Which hosts reach each other, and all connections between them."""
+
+    def __init__(self, *, seed: int) -> None:
+        """Connect all hosts."""
+        self._seed = seed
+        self._opened = 0
+        self.listeners: dict[str, MemoryListener] = {}
+        self.connections: dict[Connection, frozenset[str]] = {}
+        self.apart: set[frozenset[str]] = set()
+        self.paused: set[str] = set()
+
+    def reaches(self, left: str, right: str) -> bool:
+        """Return True if traffic passes between two hosts now."""
+        if left in self.paused or right in self.paused:
+            return False
+        return frozenset((left, right)) not in self.apart
+
+    def connect(self, left: str, right: str) -> Connection:
+        """Open a connection from ``left`` to ``right``.
+
+        Raises:
+            OSError: nothing listens there.
+        """
+        listener = self.listeners.get(right)
+        if listener is None:
+            raise OSError(f'{right} refuses connections')
+        self._opened += 1
+        connection = Connection(
+            rng=random.Random(f'{self._seed} {self._opened}'),
+            latency_ms=_LATENCY_MS,
+            held=lambda: not self.reaches(left, right),
+        )
+        self.connections[connection] = frozenset((left, right))
+        listener.open(connection)
+        return connection
+
+    def kill(self, host: str) -> None:
+        """End what the process at ``host`` had open."""
+        self.listeners.pop(host, None)
+        for connection, ends in list(self.connections.items()):
+            if host in ends:
+                connection.end()
+                del self.connections[connection]
+
+    def changed(self) -> None:
+        """Deliver what is no longer held."""
+        for connection in self.connections:
+            connection.poke()
+
+
+@final
+class MemoryNetwork(Network):
+    """How one node reaches its peers."""
+
+    __slots__ = ('_fabric', '_host')
+
+    def __init__(self, *, fabric: Fabric, host: str) -> None:
+        """Connect from ``host``."""
+        self._fabric = fabric
+        self._host = host
+
+    async def connect(self, host: str, port: int) -> ByteStream:
+        """Open a connection.
+
+        Raises:
+            OSError: the peer is cut off or does not listen.
+        """
+        await anyio.sleep(2 / MS_PER_SECOND)
+        if not self._fabric.reaches(self._host, host):
+            await anyio.sleep(_CUT_CONNECT_MS / MS_PER_SECOND)
+            raise OSError(f'{host} is cut off')
+        return self._fabric.connect(self._host, host).client
+
+    async def listen(self, host: str, port: int) -> SocketListener:
+        """Return a listener, which accepts once it serves."""
+        listener = MemoryListener(fabric=self._fabric, host=self._host)
+        return cast('SocketListener', listener)
--- /dev/null
+++ b/src/savorystand/lab/fuzz/node.py
@@ -0,0 +1,310 @@
+"""One life of a real node, with fakes at its interfaces."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import final
+
+import anyio
+
+from savorystand.admission.queue import AdmissionQueue
+from savorystand.deduplication.ledger import KeyLedger
+from savorystand.deduplication.runner import KeyedRunner
+from savorystand.deduplication.table_claims import TableClaims
+from savorystand.dispatch.attempts import Attempts
+from savorystand.gateway.application import FromCallers
+from savorystand.gateway.application import FromTarget
+from savorystand.gateway.application import HttpApplication
+from savorystand.lab.fuzz.directory import FuzzDirectory
+from savorystand.lab.fuzz.http import Exchange
+from savorystand.lab.fuzz.network import MemoryNetwork
+from savorystand.lab.fuzz.store import StoreClient
+from savorystand.lab.fuzz.target import MemoryTargetClient
+from savorystand.lab.fuzz.virtual_time import LoopClock
+from savorystand.membership.directory import FailureObserver
+from savorystand.membership.member import Member
+from savorystand.membership.member import MemberState
+from savorystand.node.builder import build_node
+from savorystand.retry.executions import ExecutionLedger
+from savorystand.routing.router import Router
+from savorystand.settings.node import Address
+from savorystand.settings.node import NodeSettings
+from savorystand.tables.follower import TableFollower
+from savorystand.tables.holder import TableHolder
+from savorystand.tables.parser import parse_tables
+from savorystand.tables.repository import TableRepository
+from savorystand.transport.address import PeerAddress
+from savorystand.transport.peers import PeerTransport
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+    from anyio.abc import TaskStatus
+
+    from savorystand.kernel.kernel import Factory
+    from savorystand.kernel.kernel import Kernel
+    from savorystand.lab.fuzz.network import Fabric
+    from savorystand.lab.fuzz.oracle import Oracle
+    from savorystand.lab.fuzz.store import MemoryStore
+    from savorystand.lab.fuzz.target import FuzzTarget
+    from savorystand.tables.tables import Tables
+
+# So few that keys are forgotten within a run.
+_MAX_RECORDS = 6
+_MAX_OFFSET_MS = 100000
+_NOWHERE = Address(host='127.0.0.1', port=1)
+STORE_HOST = 'store'
+
+
+class CountingTransport(PeerTransport):
+    """Tells what is open, to find what was left behind."""
+
+    __slots__ = ()
+
+    def pending(self) -> int:
+        """Return the calls to and from peers that are in progress."""
+        calls = sum(conn.in_flight for conn in self._connections.values())
+        return calls + sum(conn.busy() for conn in self._serving)
+
+
+class CountingClaims(TableClaims):
+    """Tells what is open."""
+
+    __slots__ = ()
+
+    def waiting(self) -> int:
+        """Return the claims without an answer."""
+        return len(self._waiting) + len(self._queue) + self._running
+
+
+@final
+@dataclass(slots=True, kw_only=True)
+class Surroundings:
+    """What all nodes of a run share."""
+
+    fabric: Fabric
+    store: MemoryStore
+    oracle: Oracle
+    directories: dict[str, FuzzDirectory]
+    tasks: TaskGroup
+
+
+class FuzzNode:
+    """A kernel built as in a deployed process, until it crashes."""
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        slot: int,
+        around: Surroundings,
+        target: FuzzTarget,
+        rng: random.Random,
+    ) -> None:
+        """Build the node of ``target`` in a slot, which fixes its address."""
+        self.node_id = node_id
+        self.host = host_of(slot)
+        self.target = target
+        self._around = around
+        self._rng = rng
+        self._tasks: TaskGroup | None = None
+        self._ready = False
+        self._exchanges: list[Exchange] = []
+        self.clock = LoopClock(offset_ms=rng.uniform(0, _MAX_OFFSET_MS))
+        self.directory = self._new_directory(slot)
+        self.kernel = build_node(
+            _settings(_domain(slot)),
+            node_id=node_id,
+            replace=self._replacements(),
+        )
+        self.tables = self.kernel.find('tables', TableHolder)
+        self.tables.watch(self._check_tables)
+
+    async def run(self) -> None:
+        """Run until ``crash``; what goes wrong then is a violation."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                tasks.start_soon(self.directory.run)
+                await tasks.start(_run_kernel, self.kernel)
+                self._ready = True
+                if self.target.serves():
+                    self.announce()
+        except Exception as exc:
+            self._around.oracle.violate('exception', _causes(exc))
+
+    def serve(self, exchange: Exchange, *, from_target: bool) -> None:
+        """Take a request; it gets no answer if the node crashes."""
+        if self._tasks is None or not self._ready:
+            exchange.done.set()
+            return
+        name = 'local listener' if from_target else 'caller listener'
+        app = self.kernel.find(name, HttpApplication)
+        self._exchanges = [
+            open_one
+            for open_one in self._exchanges
+            if not open_one.done.is_set()
+        ]
+        self._exchanges.append(exchange)
+        self._tasks.start_soon(exchange.run, app)
+
+    def issue(self) -> str:
+        """Return an issued key."""
+        return self.kernel.find('keys', KeyedRunner).issuer.issue()
+
+    def announce(self) -> None:
+        """Let the target say that it serves."""
+        pool = self.target.pool
+        self.serve_own('announce', f'?pool={pool}')
+
+    def serve_own(self, name: str, query: str = '') -> None:
+        """Let the target send an announcement."""
+        path = f'/savorystand/{name}{query}'
+        exchange = Exchange(method='POST', path=path)
+        self.serve(exchange, from_target=True)
+
+    def crash(self) -> None:
+        """End the process: connections close, memory is lost."""
+        self._around.directories.pop(self.host, None)
+        self._around.fabric.kill(self.host)
+        self.target.lose_node()
+        for exchange in self._exchanges:
+            exchange.hang_up()
+        self._ready = False
+        if self._tasks is not None:
+            self._tasks.cancel_scope.cancel()
+
+    def leftovers(self) -> dict[str, int]:
+        """Return what is still held; all zero once the node is idle."""
+        kernel = self.kernel
+        transport = kernel.find('transport', CountingTransport)
+        return {
+            'slots': kernel.find('admission', AdmissionQueue).in_progress(),
+            'executions': len(kernel.find('executions', ExecutionLedger)),
+            'calls': transport.pending(),
+            'runs': kernel.find('keys', KeyedRunner).running(),
+            'claims': kernel.find('claims', CountingClaims).waiting(),
+        }
+
+    def _check_tables(self, tables: Tables) -> None:
+        row = f'revision#{tables.revision}'
+        stored = self._around.store.stored.get(row, {})
+        change_id = stored.get('change_id')
+        self._around.oracle.in_force(self.node_id, tables, change_id)
+
+    def _new_directory(self, slot: int) -> FuzzDirectory:
+        own = Member(
+            peer=PeerAddress(node_id=self.node_id, host=self.host, port=1),
+            started_ms=self.clock.wall(),
+            version=1,
+            state=MemberState.JOINING,
+            failure_domain=_domain(slot),
+            region='r',
+            pool='',
+        )
+        directory = FuzzDirectory(
+            own=own,
+            rng=self._child_rng(),
+            others=self._around.directories,
+            reaches=self._around.fabric.reaches,
+            tasks=self._around.tasks,
+        )
+        self._around.directories[self.host] = directory
+        return directory
+
+    def _child_rng(self) -> random.Random:
+        return random.Random(self._rng.random())
+
+    def _replacements(self) -> dict[str, Factory]:
+        fabric = self._around.fabric
+        store = StoreClient(
+            store=self._around.store,
+            reaches=lambda: fabric.reaches(self.host, STORE_HOST),
+        )
+        return {
+            'clock': lambda kernel: self.clock,
+            'network': lambda kernel: MemoryNetwork(
+                fabric=fabric, host=self.host
+            ),
+            'transport': lambda kernel: CountingTransport(
+                kernel=kernel, host=self.host, port=1
+            ),
+            'membership': lambda kernel: self.directory,
+            'claims': lambda kernel: CountingClaims(
+                store=store, clock=self.clock, node_id=self.node_id
+            ),
+            'follower': lambda kernel: TableFollower(
+                kernel=kernel,
+                parse=parse_tables,
+                source=TableRepository(store=store),
+                rng=self._child_rng(),
+            ),
+            'metrics': lambda kernel: None,
+            'routing': self._router,
+            'target': lambda kernel: MemoryTargetClient(
+                clock=self.clock, target=self.target
+            ),
+            'keys': self._keys,
+            'local listener': lambda kernel: HttpApplication(
+                kernel=kernel, origin=FromTarget()
+            ),
+            'caller listener': lambda kernel: HttpApplication(
+                kernel=kernel, origin=FromCallers()
+            ),
+            'departure': lambda kernel: None,
+        }
+
+    def _router(self, kernel: Kernel) -> Router:
+        membership = kernel.find('membership', FailureObserver)
+        router = Router(
+            kernel=kernel,
+            rng=self._child_rng(),
+            on_failure=membership.observe_failure,
+        )
+        transport = kernel.find('transport', PeerTransport)
+        transport.on_load(router.observe_load)
+        return router
+
+    def _keys(self, kernel: Kernel) -> KeyedRunner:
+        return KeyedRunner(
+            kernel=kernel,
+            node_id=self.node_id,
+            attempts=kernel.find('attempts', Attempts).run,
+            ledger=KeyLedger(max_records=_MAX_RECORDS),
+        )
+
+
+def _settings(domain: str) -> NodeSettings:
+    return NodeSettings(
+        failure_domain=domain,
+        region='r',
+        callers=_NOWHERE,
+        local=_NOWHERE,
+        peers=_NOWHERE,
+        target=_NOWHERE,
+        seeds=(),
+        table_service='http://127.0.0.1:1',
+        object_store='http://127.0.0.1:1',
+        platform_key='',
+        admin_key='fuzz',
+    )
+
+
+async def _run_kernel(kernel: Kernel, *, task_status: TaskStatus[None]) -> None:
+    await kernel.run(anyio.Event(), task_status=task_status)
+
+
+def host_of(slot: int) -> str:
+    """Return the address of the nodes in a slot."""
+    return f'10.0.0.{slot}'
+
+
+def _domain(slot: int) -> str:
+    return str(slot % 2)
+
+
+def _causes(exc: BaseException) -> str:
+    if isinstance(exc, BaseExceptionGroup):
+        return '; '.join(_causes(inner) for inner in exc.exceptions)
+    return repr(exc)
--- /dev/null
+++ b/src/savorystand/lab/fuzz/rules.py
@@ -0,0 +1,82 @@
+"""What can happen in a run, one rule at a time."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+from typing import final
+
+import anyio
+
+from savorystand.clock import MS_PER_SECOND
+from savorystand.lab.fuzz import caller_rules
+from savorystand.lab.fuzz import network_rules
+from savorystand.lab.fuzz import process_rules
+
+if TYPE_CHECKING:
+    from savorystand.lab.fuzz.estate import Estate
+
+Rule: TypeAlias = Callable[['Estate', random.Random], None]
+
+_PAUSES_MS = (0, 0, 2, 20, 100)
+_WAITS_MS = (300, 1500, 4000)
+_SEEDS = 1000000000
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Step:
+    """One rule and the seed of its choices.
+
+    The choices are made among what exists when the step is played, so that
+    other steps can be removed from a run.
+    """
+
+    rule: str
+    seed: int
+
+
+RULES: dict[str, tuple[int, Rule]] = {  # noqa: WPS407 - read only
+    'send': (30, caller_rules.send),
+    'retry': (20, caller_rules.retry),
+    'hang up': (6, caller_rules.hang_up),
+    'crash node': (2, process_rules.crash_node),
+    'start nodes': (4, process_rules.start_nodes),
+    'crash target': (2, process_rules.crash_target),
+    'return target': (5, process_rules.return_target),
+    'leave': (3, process_rules.leave),
+    'pause': (2, process_rules.pause),
+    'resume': (4, process_rules.resume),
+    'cut': (4, network_rules.cut),
+    'silence': (2, network_rules.silence),
+    'part': (2, network_rules.part),
+    'delay': (6, network_rules.delay),
+    'heal': (5, network_rules.heal),
+    'store': (4, network_rules.set_store),
+    'edit': (4, caller_rules.edit),
+    'suspect': (2, network_rules.suspect),
+    'wait': (6, caller_rules.wait),
+}
+
+
+def draw_steps(rng: random.Random, number: int) -> list[Step]:
+    """Return random steps."""
+    weights = [weight for weight, _ in RULES.values()]
+    return [
+        Step(rule=rule, seed=rng.randrange(_SEEDS))
+        for rule in rng.choices(list(RULES), weights, k=number)
+    ]
+
+
+async def play_step(estate: Estate, step: Step) -> None:
+    """Play one step and let some time pass."""
+    rng = random.Random(step.seed)
+    estate.oracle.note(f'step {step.rule} {step.seed}')
+    RULES[step.rule][1](estate, rng)
+    pause_ms: float = rng.choice(_PAUSES_MS)
+    if step.rule == 'wait':
+        pause_ms = rng.choice(_WAITS_MS)
+    await anyio.sleep(pause_ms / MS_PER_SECOND)
--- /dev/null
+++ b/src/savorystand/lab/fuzz/store.py
@@ -0,0 +1,157 @@
+"""In-memory table service with outages, lost answers and late writes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import final
+
+import anyio
+
+from savorystand.clock import MS_PER_SECOND
+from savorystand.platform.errors import ConditionFailedError
+from savorystand.platform.errors import StoreUnavailableError
+from savorystand.platform.errors import StoreUnknownError
+from savorystand.platform.store import Absent
+from savorystand.platform.store import Unchanged
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from anyio.abc import TaskGroup
+
+    from savorystand.platform.store import Attributes
+    from savorystand.platform.store import Put
+
+STORE_MODES = ('up', 'down', 'lost', 'late', 'dropped')
+_LATENCY_MS = 10
+_LATE_MS = 3000
+_FAULT_SHARE = 0.5
+
+
+@final
+class MemoryStore:
+    """The items, shared by all clients.
+
+    ``down`` refuses everything; the others concern writes, half of which
+    then fail: ``lost`` writes without an answer, ``late`` writes after
+    another while, ``dropped`` does not write.
+    """
+
+    def __init__(self, *, rng: random.Random, tasks: TaskGroup) -> None:
+        """Start empty; ``tasks`` carries the late writes."""
+        self._rng = rng
+        self._tasks = tasks
+        self._tokens: set[str] = set()
+        self.mode = 'up'
+        self.stored: dict[str, Attributes] = {}
+
+    async def read(self, ids: Sequence[str]) -> dict[str, Attributes | None]:
+        """Return items."""
+        await self._travel()
+        if self.mode == 'down':
+            raise StoreUnavailableError(self.mode)
+        found = {item_id: self.stored.get(item_id) for item_id in ids}
+        await self._travel()
+        return found
+
+    async def write(self, puts: Sequence[Put], token: str) -> None:
+        """Write all items or none, with the faults of the mode."""
+        await self._travel()
+        mode = self.mode if self._rng.random() < _FAULT_SHARE else 'up'
+        if self.mode == 'down':
+            raise StoreUnavailableError(self.mode)
+        if mode == 'late':
+            self._tasks.start_soon(self._write_late, puts, token)
+        if mode in {'late', 'dropped'}:
+            raise StoreUnknownError(mode)
+        failed = self._apply(puts, token)
+        await self._travel()
+        if mode == 'lost':
+            raise StoreUnknownError(mode)
+        if failed:
+            raise ConditionFailedError(failed=failed)
+
+    async def _travel(self) -> None:
+        await anyio.sleep(self._rng.uniform(0, _LATENCY_MS) / MS_PER_SECOND)
+
+    async def _write_late(self, puts: Sequence[Put], token: str) -> None:
+        await anyio.sleep(self._rng.uniform(0, _LATE_MS) / MS_PER_SECOND)
+        self._apply(puts, token)
+
+    def _apply(self, puts: Sequence[Put], token: str) -> tuple[int, ...]:
+        if token in self._tokens:
+            return ()
+        failed = tuple(
+            index for index, put in enumerate(puts) if not self._holds(put)
+        )
+        if not failed:
+            self._tokens.add(token)
+            self.stored.update({put.id: put.attributes for put in puts})
+        return failed
+
+    def _holds(self, put: Put) -> bool:
+        stored = self.stored.get(put.id)
+        match put.condition:
+            case Absent():
+                return stored is None
+            case Unchanged(attribute=name, equals=equals):
+                return stored is not None and stored[name] == equals
+            case _:
+                # Only mutations of the editor send writes without one.
+                return True
+
+
+@final
+class StoreClient:
+    """One client's way to the store, which a partition may cut."""
+
+    def __init__(
+        self,
+        *,
+        store: MemoryStore,
+        reaches: Callable[[], bool],
+    ) -> None:
+        """Use ``store`` while ``reaches`` returns True."""
+        self._store = store
+        self._reaches = reaches
+
+    async def get(self, item_id: str) -> Attributes | None:
+        """Return an item."""
+        return (await self.get_many((item_id,)))[item_id]
+
+    async def get_many(
+        self,
+        item_ids: Sequence[str],
+    ) -> dict[str, Attributes | None]:
+        """Return items.
+
+        Raises:
+            StoreUnavailableError: the store does not answer.
+        """
+        await self._connect()
+        found = await self._store.read(item_ids)
+        if not self._reaches():
+            raise StoreUnavailableError('the answer was lost')
+        return found
+
+    async def put(self, put: Put) -> None:
+        """Write one item."""
+        await self.transact((put,), f'put {put.id}')
+
+    async def transact(self, puts: Sequence[Put], token: str) -> None:
+        """Write all items or none.
+
+        Raises:
+            StoreUnknownError: the answer was lost.
+        """
+        await self._connect()
+        await self._store.write(puts, token)
+        if not self._reaches():
+            raise StoreUnknownError('the answer was lost')
+
+    async def _connect(self) -> None:
+        if not self._reaches():
+            await anyio.sleep(1)
+            raise StoreUnavailableError('no connection')
