Let the fuzzer fail whole pools and check service at the end

Cause: the fuzzer did not see that forwarded calls were never served, retries rarely met each other, and crashed nodes stayed serving members for ever.

Change: each run prefers some rules and leaves others out; all targets of a pool may fail together; after the quiet end each node has to serve a call under a key of the next one; crashed nodes become dead members.

--- a/src/savorystand/lab/fuzz/directory.py
+++ b/src/savorystand/lab/fuzz/directory.py
@@ -64,16 +64,12 @@
         if member is not None:
             self._known[node_id] = replace(member, state=MemberState.DEAD)
 
-    def merge(self, member: Member) -> bool:
-        """Take a record in; return True if its table revision is news.
-
-        The higher version wins, then the higher state.
-        """
+    def merge(self, member: Member) -> None:
+        """Take a record in; the higher version wins, then the state."""
         node_id = member.peer.node_id
         known = self._known.get(node_id)
         if known is None or _rank(member) > _rank(known):
             self._known[node_id] = member
-        return known is None or member.revision > known.revision
 
 
 @final
@@ -159,8 +155,8 @@
             return
         for member in members:
             if member.peer.node_id != self._own.peer.node_id:
-                if self.merge(member):
-                    self._tell(member)
+                self.merge(member)
+                self._tell(member)
             elif member.state == MemberState.DEAD:
                 self._declare(self._own)
 
@@ -176,7 +172,7 @@
         self.spread()
 
     def _tell(self, member: Member) -> None:
-        if member.revision:
+        if member.revision > self._own.revision:
             for observer in self._observers:
                 observer(member.revision, member.peer)
 
--- a/src/savorystand/lab/fuzz/estate.py
+++ b/src/savorystand/lab/fuzz/estate.py
@@ -14,6 +14,7 @@
 from savorystand.lab.fuzz.node import FuzzNode
 from savorystand.lab.fuzz.node import Surroundings
 from savorystand.lab.fuzz.node import host_of
+from savorystand.lab.fuzz.oracle import Operation
 from savorystand.lab.fuzz.oracle import Oracle
 from savorystand.lab.fuzz.store import MemoryStore
 from savorystand.lab.fuzz.target import FuzzTarget
@@ -29,6 +30,9 @@
 # The pool of each slot; retries need several targets in the deepest pool.
 POOLS = ('front', 'front', 'back', 'back', 'back')
 HOSTS = tuple(host_of(slot) for slot, _ in enumerate(POOLS))
+# Until then a crashed node may be taken for a serving one.
+_SUSPICION_SECONDS = 7
+_LAST_SECONDS = 11
 _SEEDS = 1000000
 _START_SECONDS = 8
 # Longer than any deadline, any hanging target and any suspicion.
@@ -111,6 +115,7 @@
         self.nodes[slot] = None
         self.fabric.paused.discard(node.host)
         node.crash()
+        self.tasks.start_soon(self._bury, node.node_id)
 
     def return_target(self, slot: int) -> None:
         """Let a target that left or crashed serve again."""
@@ -148,12 +153,36 @@
                 self.return_target(slot)
         await anyio.sleep(_QUIET_SECONDS)
         self._check_idle()
+        await self._check_service()
 
     def directory(self, slot: int) -> FuzzDirectory | None:
         """Return the directory of the node in a slot."""
         node = self.nodes[slot]
         return None if node is None else node.directory
 
+    async def _check_service(self) -> None:
+        # Each node gets a key of the next one.
+        homes = self.nodes[1:] + self.nodes[:1]
+        for node, home in zip(self.nodes, homes, strict=True):
+            if node is None or home is None:
+                continue
+            operation = Operation(
+                name=f'last {node.node_id}',
+                method='POST',
+                path='/confirm',
+                idempotent=False,
+                key=home.issue(),
+            )
+            self.callers.call(operation, node, random.Random(2))
+            await anyio.sleep(_LAST_SECONDS)
+            if not operation.answered:
+                self.oracle.violate('not served', operation.name)
+
+    async def _bury(self, node_id: str) -> None:
+        await anyio.sleep(_SUSPICION_SECONDS)
+        for directory in self.around.directories.values():
+            directory.suspect(node_id)
+
     def _check_idle(self) -> None:
         head = self.store.stored['head']['revision']
         for node in self.nodes:
--- a/src/savorystand/lab/fuzz/process_rules.py
+++ b/src/savorystand/lab/fuzz/process_rules.py
@@ -12,6 +12,7 @@
     from savorystand.lab.fuzz.estate import Estate
 
 _REPLACED_SHARE = 0.7
+_HEALED_SHARE = 0.5
 _LOST_SHARE = 0.5
 
 
@@ -33,7 +34,16 @@
         target.crash()
 
 
+def fail_targets(estate: Estate, rng: random.Random) -> None:
+    pool = rng.choice(POOLS)
+    for target in estate.targets:
+        target.failing = target.pool == pool
+
+
 def return_target(estate: Estate, rng: random.Random) -> None:
+    if rng.random() < _HEALED_SHARE:
+        for failing in estate.targets:
+            failing.failing = False
     for slot, target in enumerate(estate.targets):
         if not target.serves():
             estate.return_target(slot)
--- a/src/savorystand/lab/fuzz/rules.py
+++ b/src/savorystand/lab/fuzz/rules.py
@@ -23,6 +23,7 @@
 
 _PAUSES_MS = (0, 0, 2, 20, 100)
 _WAITS_MS = (300, 1500, 4000)
+_PREFERENCES = (0, 1, 1, 4)
 _SEEDS = 1000000000
 
 
@@ -46,6 +47,7 @@
     'crash node': (2, process_rules.crash_node),
     'start nodes': (4, process_rules.start_nodes),
     'crash target': (2, process_rules.crash_target),
+    'fail targets': (4, process_rules.fail_targets),
     'return target': (5, process_rules.return_target),
     'leave': (3, process_rules.leave),
     'pause': (2, process_rules.pause),
@@ -63,8 +65,17 @@
 
 
 def draw_steps(rng: random.Random, number: int) -> list[Step]:
-    """Return random steps."""
-    weights = [weight for weight, _ in RULES.values()]
+    """Return random steps.
+
+    Each run leaves some rules out and prefers others, as faults that mask
+    each other would otherwise meet in all runs (swarm testing, Groce et al.,
+    2012).
+    """
+    weights = [
+        weight * rng.choice(_PREFERENCES) for weight, _ in RULES.values()
+    ]
+    # The first rule sends; without it nothing would happen.
+    weights[0] = max(weights[0], RULES['send'][0])
     return [
         Step(rule=rule, seed=rng.randrange(_SEEDS))
         for rule in rng.choices(list(RULES), weights, k=number)
--- a/src/savorystand/lab/fuzz/target.py
+++ b/src/savorystand/lab/fuzz/target.py
@@ -34,6 +34,7 @@
 }
 _PLANS = ('answer', 'slow', 'refuse', 'fail', 'truncate', 'close', 'hang')
 _WEIGHTS = (50, 12, 12, 8, 4, 4, 4)
+_FAILURES = ('fail', 'fail', 'refuse', 'close')
 _HANG_MS = 60000
 _SLOW_MS = 3000
 _QUICK_MS = 40
@@ -89,6 +90,7 @@
         self.left_ms: float | None = None
         # Shares out the plans of failure; none of them while it is quiet.
         self.quiet = False
+        self.failing = False
         # Sends a request to the target's own node.
         self.call_node: Callable[[Exchange], None] = _no_node
 
@@ -168,6 +170,8 @@
         request = names.header(headers, REQUEST)
         self._oracle.attempt(name, path, request)
         plan = self._rng.choices(_PLANS, _WEIGHTS)[0]
+        if self.failing:
+            plan = self._rng.choice(_FAILURES)
         if self.quiet:
             plan = 'answer'
         self._oracle.count(f'target {plan}')
