--- /dev/null
+++ b/tests/mutations.py
@@ -0,0 +1,266 @@
+"""Removes one rule at a time and lists which tests notice.
+
+Run as ``python -m tests.mutations``; it is not part of the normal tests. Each
+mutation is made in memory. The exit code is 1 if nothing notices one.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import multiprocessing
+import sys
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import Any
+from unittest.mock import patch
+
+import pytest
+from expression import Error
+
+from savorystand.admission.closing import Closing
+from savorystand.deduplication import claim_batch
+from savorystand.deduplication.claim_rows import judge_row
+from savorystand.deduplication.claims import Claimed
+from savorystand.deduplication.ledger import KeyLedger
+from savorystand.deduplication.ledger import Run
+from savorystand.deduplication.ledger import RunNow
+from savorystand.deduplication.ledger import fingerprint
+from savorystand.deduplication.runner import KeyedRunner
+from savorystand.gateway.target_client import TargetClient
+from savorystand.lab.fuzz.play import play
+from savorystand.lab.fuzz.play import run_steps
+from savorystand.platform.store import Absent
+from savorystand.platform.store import Unchanged
+from savorystand.retry.policy import ENTRY_RETRIES
+from savorystand.retry.policy import RetryPolicy
+from savorystand.tables.follower import TableFollower
+from savorystand.tables.holder import TableHolder
+from savorystand.tables.repository import TableRepository
+from savorystand.tables.repository import _head_put
+from savorystand.tables.repository import _revision_put
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from multiprocessing.queues import SimpleQueue
+
+_SEEDS = (1, 2, 3, 4)
+_RUNS = 30
+_TEST_SECONDS = 30
+_MAY_RETRY = RetryPolicy.may_retry
+
+
+@dataclass(frozen=True)
+class Mutation:
+    """A rule that is left out, and the tests that concern it."""
+
+    rule: str
+    tests: str
+    patches: tuple[tuple[Any, str, Any], ...]
+
+
+async def _written_late(
+    self: Any, call: Any, execution_id: str, progress: Any
+) -> Any:
+    conn = await self._take()
+    try:
+        answer = await conn.exchange(self._encode(call, execution_id))
+        progress.written = True
+    finally:
+        await self._give_back(conn)
+    return answer
+
+
+def _retry_below(
+    self: Any, route: Any, refusal: Any, retries_left: int
+) -> bool:
+    return _MAY_RETRY(
+        self, route, replace(refusal, from_below=False), retries_left
+    )
+
+
+def _run_anyway(self: Any, record: Any, mark: bytes) -> Any:
+    record.run = Run()
+    self._running += 1
+    return RunNow(record=record, run=record.run)
+
+
+def _drop_silently(self: Any, record: Any) -> None:
+    del self._records[record.key]
+
+
+def _claim_unknown(row: Any, **claim: Any) -> Any:
+    return Claimed() if row is None else judge_row(row, **claim)
+
+
+def _install(self: Any, tables: Any) -> bool:
+    self._current = tables
+    for watcher in self._watchers:
+        watcher(tables)
+    return True
+
+
+async def _publish(self: Any, document: Any, *, base: Any) -> None:
+    puts = []
+    for put in (
+        _revision_put(document),
+        _head_put(document, base),
+    ):
+        stored = await self._store.get(put.id)
+        condition: Any = Absent()
+        if stored is not None:
+            condition = Unchanged(
+                attribute='change_id', equals=stored['change_id']
+            )
+        puts.append(replace(put, condition=condition))
+    await self._store.transact(puts, document.change_id)
+
+
+async def _serve_issued(self: Any, call: Any, key: Any) -> Any:
+    if not self.issuer.verify(key):
+        return Error(NotRun(reason=Reason.KEY_REQUIRED))
+    decision = self._ledger.begin_issued(key, fingerprint(call))
+    return await self._follow(call, decision)
+
+
+def _deny(reason: Reason, *, detail: str, known: bool) -> NotRun:
+    return NotRun(reason=reason, detail=detail)
+
+
+_KEYS = 'tests/deduplication'
+MUTATIONS = (
+    Mutation(
+        'retry bound: each hop retries with a budget of its own',
+        'tests/dispatch/test_attempts.py',
+        (
+            (RetryPolicy, 'granted', lambda _policy, _left: ENTRY_RETRIES),
+            (RetryPolicy, 'may_retry', _retry_below),
+        ),
+    ),
+    Mutation(
+        'truthful verdict: point of no return after the write',
+        'tests/dispatch',
+        ((TargetClient, '_exchange', _written_late),),
+    ),
+    Mutation(
+        'truthful verdict: unknown keys are denied',
+        _KEYS,
+        ((sys.modules[KeyedRunner.__module__], 'not_seen', _deny),),
+    ),
+    Mutation(
+        'truthful verdict: keys of an earlier process are denied',
+        _KEYS,
+        ((KeyedRunner, '_serve_issued', _serve_issued),),
+    ),
+    Mutation(
+        'at most once: the ledger is skipped',
+        _KEYS,
+        ((KeyLedger, '_decide', _run_anyway),),
+    ),
+    Mutation(
+        'at most once: the low-water mark is ignored',
+        _KEYS,
+        ((KeyLedger, '_drop', _drop_silently),),
+    ),
+    Mutation(
+        'at most once: a lost claim answer counts as claimed',
+        _KEYS,
+        ((claim_batch, 'judge_row', _claim_unknown),),
+    ),
+    Mutation(
+        'leaving: targets accept work for ever',
+        'tests/admission',
+        ((Closing, 'is_closed', lambda _closing: False),),
+    ),
+    Mutation(
+        'tables: lower revisions are installed',
+        'tests/tables/test_follower.py',
+        (
+            (TableHolder, 'install', _install),
+            (
+                TableFollower,
+                'wants',
+                lambda follower, number: number != follower.revision(),
+            ),
+        ),
+    ),
+    Mutation(
+        'tables: the editor ignores the condition',
+        'tests/tables/test_editor.py',
+        ((TableRepository, 'publish', _publish),),
+    ),
+)
+
+
+@contextlib.contextmanager
+def _made(mutation: Mutation) -> Iterator[None]:
+    with contextlib.ExitStack() as stack:
+        for owner, name, mutant in mutation.patches:
+            stack.enter_context(patch.object(owner, name, mutant))
+        yield
+
+
+def _fuzzed() -> str:
+    for seed in _SEEDS:
+        for run in range(_RUNS):
+            name = f'{seed} {run}'
+            violations = play(name, run_steps(seed, run)).violations
+            if violations:
+                kind = violations[0].partition(':')[0]
+                return f'{kind} (seed {seed}, run {run})'
+    return ''
+
+
+class _Failures:
+    """Collects the names of failed tests."""
+
+    def __init__(self) -> None:
+        self.names: set[str] = set()
+
+    def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
+        if report.failed:
+            self.names.add(report.nodeid.rpartition('::')[2])
+
+
+def _run_tests(tests: str, names: SimpleQueue[str]) -> None:
+    failures = _Failures()
+    arguments = ['-q', '-p', 'no:cacheprovider', tests]
+    with contextlib.redirect_stdout(io.StringIO()):
+        pytest.main(arguments, plugins=[failures])
+    names.put(', '.join(sorted(failures.names)))
+
+
+def _tested(tests: str) -> str:
+    # A forked child keeps the mutation; a rule left out may hang a test.
+    forking = multiprocessing.get_context('fork')
+    names = forking.SimpleQueue()
+    child = forking.Process(target=_run_tests, args=(tests, names))
+    child.start()
+    child.join(_TEST_SECONDS)
+    if child.is_alive():
+        child.kill()
+        return 'no end'
+    return 'crash' if names.empty() else names.get()
+
+
+def main() -> int:
+    """Print a row of a table for each mutation."""
+    unnoticed = 0
+    sys.stdout.write('| rule left out | fuzzer | tests |\n|---|---|---|\n')
+    for mutation in MUTATIONS:
+        with _made(mutation):
+            fuzzed = _fuzzed()
+            tested = _tested(mutation.tests)
+        unnoticed += not (fuzzed or tested)
+        cells = (mutation.rule, fuzzed or '-', tested or '-')
+        row = ' | '.join(cells)
+        sys.stdout.write(f'| {row} |\n')
+        sys.stdout.flush()
+    return int(unnoticed > 0)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
