--- a/src/savorystand/deduplication/runner.py
+++ b/src/savorystand/deduplication/runner.py
@@ -126,6 +126,10 @@
         return await self._serve_issued(call, issued)
 
     async def _serve_issued(self, call: Call, key: IssuedKey) -> Outcome:
+        if key.node_id != self._node_id:
+            # Sent to an earlier life of the process at this address, which
+            # may have run the request.
+            return _unknown(call, Reason.HOME_LOST, key.node_id)
         if not self.issuer.verify(key):
             detail = 'the key was not issued by this node'
             return Error(NotRun(reason=Reason.KEY_REQUIRED, detail=detail))
@@ -201,7 +205,8 @@
         # then gets the answer.
         outcome: Outcome = Error(MayHaveRun(reason=Reason.CANCELLED))
         try:
-            outcome = await self._attempts(call)
+            # From here on the call is meant for a target and not for a home.
+            outcome = await self._attempts(replace(call, to_home=False))
         except Exception:
             # A fault in one run must not end the node and all other runs.
             _log.exception('event=run_failed route={}', call.route.name)
--- /dev/null
+++ b/src/savorystand/lab/fuzz/transport.py
@@ -0,0 +1,81 @@
+"""An event loop's transport over a byte stream in memory."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import final
+
+import anyio
+
+if TYPE_CHECKING:
+    from anyio.abc import ByteStream
+    from anyio.abc import TaskGroup
+
+_BROKEN = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+)
+
+
+class _NoSocket:
+    """Takes socket options and ignores them."""
+
+    def setsockopt(self, level: int, option: int, setting: int) -> None:
+        """Ignore an option."""
+
+
+@final
+class MemoryTransport(asyncio.Transport):
+    """Carries a protocol's bytes over a stream until either side ends."""
+
+    def __init__(
+        self,
+        *,
+        stream: ByteStream,
+        protocol: asyncio.Protocol,
+        tasks: TaskGroup,
+    ) -> None:
+        """Connect ``protocol`` to ``stream``; ``tasks`` hosts the transfer."""
+        super().__init__()
+        self._stream = stream
+        self._protocol = protocol
+        self._tasks = tasks
+        self._closing = False
+        protocol.connection_made(self)
+        tasks.start_soon(self._receive)
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """Return a socket without effect."""
+        return _NoSocket()
+
+    def is_closing(self) -> bool:
+        """Return True once this side has closed."""
+        return self._closing
+
+    def write(self, payload: Any) -> None:
+        """Send bytes."""
+        self._tasks.start_soon(self._send, bytes(payload))
+
+    def abort(self) -> None:
+        """Close at once."""
+        if not self._closing:
+            self._closing = True
+            self._tasks.start_soon(self._stream.aclose)
+
+    async def _send(self, payload: bytes) -> None:
+        try:
+            await self._stream.send(payload)
+        except _BROKEN:
+            # The receiving side reports the loss.
+            return
+
+    async def _receive(self) -> None:
+        try:
+            while True:
+                self._protocol.data_received(await self._stream.receive())
+        except _BROKEN:
+            self._closing = True
+            self._protocol.connection_lost(None)
--- a/tests/dispatch/test_attempts.py
+++ b/tests/dispatch/test_attempts.py
@@ -13,6 +13,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from savorystand.admission.queue import AdmissionQueue
 from savorystand.call import Answer
 from savorystand.clock import ManualClock
 from savorystand.dispatch.attempts import Attempts
@@ -62,10 +63,10 @@
         self.kernel.register('clock', self.clock)
         self.kernel.register('membership', FakeDirectory(members))
         self.kernel.register('tables', TableHolder())
+        self.kernel.register('admission', BaselineAdmission(clock=self.clock))
         self.kernel.register('own pool', OwnPool(kernel=self.kernel))
         self.kernel.register('retry', RetryPolicy())
         self.kernel.register('executions', ExecutionLedger())
-        self.kernel.register('admission', BaselineAdmission(clock=self.clock))
         self.router = Router(kernel=self.kernel, rng=random.Random(3))
         self.kernel.register('routing', self.router)
         self.kernel.register('peers', self)
@@ -293,3 +294,17 @@
     outcome = anyio.run(_Node(serve).attempts.run, call)
     assert outcome.error.reason is Reason.DRAINING
     assert len(refused) == 4
+
+
+@pytest.mark.anyio
+async def test_node_takes_no_work_before_its_target_announces_itself() -> None:
+    """Peers may still call an earlier life of a leaving target's node (P6)."""
+    kernel = Kernel()
+    kernel.register('tables', TableHolder())
+    kernel.register('clock', ManualClock())
+    queue = AdmissionQueue(clock=kernel.find('clock', ManualClock))
+    kernel.register('admission', queue)
+    kernel.register('executions', ExecutionLedger())
+    kernel.register('own pool', OwnPool(kernel=kernel))
+    outcome = await Inbound(kernel=kernel).serve(make_call())
+    assert outcome.error.reason is Reason.DRAINING
