Keep a not-run true against attempts still on their way

Change: callers may number their attempts (Savorystand-Attempt: N); the home starts no attempt older than the newest that has arrived. The lab's callers number theirs and adopt an offered key only after not-run.

--- a/src/savorystand/call.py
+++ b/src/savorystand/call.py
@@ -52,9 +52,9 @@
 class Call:
     """One request on its way to a pool. ``path`` includes the query.
 
-    ``first`` is set if the caller declares that it has not sent the request
-    before; only then can a node that knows nothing of the key say that the
-    request has not run.
+    ``attempt`` is the number that the caller gives to this attempt at its
+    request, counted from 1, or 0. Only of a declared first attempt can a node
+    that knows nothing of the key say that the request has not run.
     """
 
     context: CallContext
@@ -65,7 +65,12 @@
     body: bytes
     key: str = ''
     to_home: bool = False
-    first: bool = False
+    attempt: int = 0
+
+    @property
+    def first(self) -> bool:
+        """Return True if the caller declares its first attempt."""
+        return self.attempt == 1
 
 
 @final
--- a/src/savorystand/deduplication/ledger.py
+++ b/src/savorystand/deduplication/ledger.py
@@ -15,6 +15,7 @@
 from expression import Error
 from expression import Result
 
+from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 
@@ -46,13 +47,15 @@
     """One key and the run of its request, if there is or was one.
 
     ``attempt`` identifies the claim on a caller's own key: a row that carries
-    it was inserted for this record and for no other.
+    it was inserted for this record and for no other. ``newest`` is the highest
+    number of a caller's attempt that has arrived.
     """
 
     key: str
     sequence: int
     mark: bytes
     attempt: str = ''
+    newest: int = 0
     run: Run | None = None
 
     def idle(self) -> bool:
@@ -157,24 +160,26 @@
         if record is not None and record.run is None:
             self._drop(record)
 
-    def begin_issued(self, key: IssuedKey, mark: bytes) -> Decision:
+    def begin_issued(
+        self, key: IssuedKey, mark: bytes, attempt: int = 0
+    ) -> Decision:
         """Decide on a request whose key this node has issued."""
         record = self._records.get(key.text())
         if record is not None:
-            return self._decide(record, mark)
+            return self._decide(record, mark, attempt)
         if key.sequence < self._low_water:
             return Forgotten()
         record = KeyRecord(key=key.text(), sequence=key.sequence, mark=mark)
-        decision = self._decide(record, mark)
+        decision = self._decide(record, mark, attempt)
         self._add(record)
         return decision
 
-    def begin_own(self, key: str, mark: bytes) -> Decision:
+    def begin_own(self, key: str, mark: bytes, attempt: int = 0) -> Decision:
         """Decide on a request whose claim names this node as its home."""
         record = self._records.get(key)
         if record is None:
             return Forgotten()
-        return self._decide(record, mark)
+        return self._decide(record, mark, attempt)
 
     def complete(self, now: RunNow, outcome: Outcome) -> None:
         """Record how a run ended.
@@ -191,9 +196,15 @@
         now.run.done.set()
         self._evict()
 
-    def _decide(self, record: KeyRecord, mark: bytes) -> Decision:
+    def _decide(self, record: KeyRecord, mark: bytes, attempt: int) -> Decision:
         if record.mark != mark:
             return Decided(outcome=Error(NotRun(reason=Reason.KEY_REUSED)))
+        if record.run is None and 0 < attempt < record.newest:
+            # Held up on its way: a later attempt may have been told that the
+            # request has not run, which has to stay true.
+            late = MayHaveRun(reason=Reason.CANCELLED, detail='late attempt')
+            return Decided(outcome=Error(late))
+        record.newest = max(record.newest, attempt)
         if record.run is None:
             record.run = Run()
             self._running += 1
--- a/src/savorystand/deduplication/runner.py
+++ b/src/savorystand/deduplication/runner.py
@@ -121,7 +121,7 @@
             mark = fingerprint(call)
             return await self._follow(
                 call,
-                self._ledger.begin_own(call.key, mark),
+                self._ledger.begin_own(call.key, mark, call.attempt),
             )
         return await self._serve_issued(call, issued)
 
@@ -133,7 +133,9 @@
         if not self.issuer.verify(key):
             detail = 'the key was not issued by this node'
             return Error(NotRun(reason=Reason.KEY_REQUIRED, detail=detail))
-        decision = self._ledger.begin_issued(key, fingerprint(call))
+        decision = self._ledger.begin_issued(
+            key, fingerprint(call), call.attempt
+        )
         return await self._follow(call, decision)
 
     async def _call_own(self, call: Call) -> Outcome:
@@ -141,13 +143,13 @@
         if self._ledger.has_run(call.key):
             return await self._follow(
                 call,
-                self._ledger.begin_own(call.key, mark),
+                self._ledger.begin_own(call.key, mark, call.attempt),
             )
         attempt = self._ledger.bind(call.key, mark)
         claims = self._kernel.find('claims', ClaimService)
         match await claims.claim(call.key, attempt):
             case Claimed():
-                decision = self._ledger.begin_own(call.key, mark)
+                decision = self._ledger.begin_own(call.key, mark, call.attempt)
                 return await self._follow(call, decision)
             case HeldElsewhere(node_id=home) if home == self._node_id:
                 # Bound here by a claim of which no record is left.
--- a/src/savorystand/gateway/application.py
+++ b/src/savorystand/gateway/application.py
@@ -52,6 +52,7 @@
     from savorystand.tables.route import Route
 
 _ADMIN_PREFIX = '/savorystand/'
+_MAX_ATTEMPT_DIGITS = 6
 _CLOSE = (('connection', 'close'),)
 _OFFERS_KEY = frozenset(
     (
@@ -168,7 +169,7 @@
             refusal = not_seen(
                 Reason.NO_ROUTE,
                 detail=detail,
-                known=not keyed or _is_first(request),
+                known=not keyed or _attempt(request) == 1,
             )
             return self._refusal(refusal, '')
         return await self._serve_route(request, route)
@@ -225,7 +226,7 @@
                 headers=names.forwarded(request.headers),
                 body=request.body,
                 key=names.header(request.headers, names.IDEMPOTENCY_KEY),
-                first=_is_first(request),
+                attempt=_attempt(request),
             ),
         )
 
@@ -248,8 +249,11 @@
         )
 
 
-def _is_first(request: Request) -> bool:
-    return names.header(request.headers, names.ATTEMPT) == '1'
+def _attempt(request: Request) -> int:
+    text = names.header(request.headers, names.ATTEMPT)
+    if not text.isdecimal() or len(text) > _MAX_ATTEMPT_DIGITS:
+        return 0
+    return int(text)
 
 
 def _answer(answer: Answer, context: CallContext) -> Reply:
--- a/src/savorystand/gateway/target_client.py
+++ b/src/savorystand/gateway/target_client.py
@@ -18,7 +18,6 @@
 from savorystand.verdict import Reason
 
 if TYPE_CHECKING:
-
     from savorystand.call import Answer
     from savorystand.call import Call
     from savorystand.call import Outcome
--- a/src/savorystand/lab/callers/accounting.py
+++ b/src/savorystand/lab/callers/accounting.py
@@ -18,7 +18,8 @@
 LOST = 'may-have-run/lost'
 UNREACHED = 'not-run/unreached'
 MAY_HAVE_RUN = 'may-have-run'
-HOME_LOST = 'may-have-run/home-lost'
+NOT_RUN = 'not-run'
+HOME_LOST = '/home-lost'
 _SUCCESS = 200
 
 
--- a/src/savorystand/lab/callers/caller.py
+++ b/src/savorystand/lab/callers/caller.py
@@ -15,6 +15,7 @@
 from savorystand.lab.callers.accounting import HOME_LOST
 from savorystand.lab.callers.accounting import LOST
 from savorystand.lab.callers.accounting import MAY_HAVE_RUN
+from savorystand.lab.callers.accounting import NOT_RUN
 from savorystand.lab.callers.accounting import UNREACHED
 from savorystand.lab.callers.accounting import WHOLE
 from savorystand.lab.callers.accounting import Record
@@ -48,6 +49,7 @@
     key: str
     own_key: bool
     body: bytes
+    key_sends: int = 0
     unresolved: bool = False
     retries: int = 0
     waited_ms: float = 0
@@ -147,7 +149,7 @@
             verdict = UNREACHED
         except CLIENT_ERRORS:
             verdict = LOST
-        if verdict == HOME_LOST:
+        if verdict.endswith(HOME_LOST):
             self._stocks[operation.home].discard()
         if verdict.startswith(MAY_HAVE_RUN):
             operation.unresolved = True
@@ -164,7 +166,9 @@
             (names.DEADLINE, str(int(left_ms))),
         ]
         if operation.key:
+            operation.key_sends += 1
             headers.append((names.IDEMPOTENCY_KEY, operation.key))
+            headers.append((names.ATTEMPT, str(operation.key_sends)))
         answer = await self._clients[entry].send(
             stream.method,
             stream.path,
@@ -177,15 +181,17 @@
         operation.retry_after_ms = float(seconds) * MS_PER_SECOND
         verdict = judge(answer, operation.name, operation.body)
         offered = answer.headers.get(names.IDEMPOTENCY_KEY, '')
-        if offered and verdict != WHOLE and not operation.unresolved:
+        denied = verdict.startswith(NOT_RUN)
+        if offered and denied and not operation.unresolved:
             operation.key = offered
+            operation.key_sends = 0
         return verdict
 
     def _may_retry(self, operation: _Operation, verdict: str) -> bool:
         if operation.retries >= self._plan.max_retries:
             return False
         # A lost or failed request is safe to repeat under the same key.
-        return verdict.startswith(('not-run', MAY_HAVE_RUN))
+        return verdict.startswith((NOT_RUN, MAY_HAVE_RUN))
 
     def _left_ms(self, operation: _Operation) -> float:
         spent_ms = self._since_start() - operation.intended_ms
--- a/src/savorystand/lab/fuzz/callers.py
+++ b/src/savorystand/lab/fuzz/callers.py
@@ -98,6 +98,8 @@
     ]
     if operation.key:
         headers.append((names.IDEMPOTENCY_KEY, operation.key))
-    if operation.sends == 1 and rng.random() < _DECLARED_SHARE:
-        headers.append((names.ATTEMPT, '1'))
+    if operation.numbered is None:
+        operation.numbered = rng.random() < _DECLARED_SHARE
+    if operation.numbered:
+        headers.append((names.ATTEMPT, str(operation.sends)))
     return tuple(headers)
--- a/src/savorystand/lab/fuzz/oracle.py
+++ b/src/savorystand/lab/fuzz/oracle.py
@@ -37,6 +37,7 @@
     idempotent: bool
     key: str = ''
     sends: int = 0
+    numbered: bool | None = None
     starts: int = 0
     not_run: bool = False
     answered: bool = False
--- a/src/savorystand/transport/conversion.py
+++ b/src/savorystand/transport/conversion.py
@@ -49,7 +49,7 @@
             last=len(body) == len(call.body),
             key=call.key,
             to_home=call.to_home,
-            first=call.first,
+            attempt=call.attempt,
             body_size=len(call.body),
         ),
     )
@@ -84,7 +84,7 @@
         body=body,
         key=start.key or '',
         to_home=bool(start.to_home),
-        first=bool(start.first),
+        attempt=max(0, start.attempt or 0),
     )
 
 
--- a/src/savorystand/transport/server.py
+++ b/src/savorystand/transport/server.py
@@ -179,5 +179,5 @@
 
 def _unseen(start: Message, reason: Reason) -> Refusal:
     # Refused before the home has looked the key up.
-    known = not start.to_home or bool(start.first)
+    known = not start.to_home or start.attempt == 1
     return not_seen(reason, detail=start.route, known=known)
--- a/src/savorystand/wire/gen/wire/ttypes.py
+++ b/src/savorystand/wire/gen/wire/ttypes.py
@@ -547,7 +547,7 @@
      - to_home
      - body_size
      - key
-     - first
+     - attempt
 
     """
 
@@ -563,11 +563,11 @@
         'to_home',
         'body_size',
         'key',
-        'first',
+        'attempt',
     )
 
 
-    def __init__(self, stream=None, context=None, route=None, method=None, path=None, headers=None, body=None, last=None, to_home=None, body_size=None, key=None, first=None,):
+    def __init__(self, stream=None, context=None, route=None, method=None, path=None, headers=None, body=None, last=None, to_home=None, body_size=None, key=None, attempt=None,):
         self.stream = stream
         self.context = context
         self.route = route
@@ -579,7 +579,7 @@
         self.to_home = to_home
         self.body_size = body_size
         self.key = key
-        self.first = first
+        self.attempt = attempt
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -653,8 +653,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 12:
-                if ftype == TType.BOOL:
-                    self.first = iprot.readBool()
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -714,9 +714,9 @@
             oprot.writeFieldBegin('key', TType.STRING, 11)
             oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
             oprot.writeFieldEnd()
-        if self.first is not None:
-            oprot.writeFieldBegin('first', TType.BOOL, 12)
-            oprot.writeBool(self.first)
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 12)
+            oprot.writeI32(self.attempt)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2857,7 +2857,7 @@
     (9, TType.BOOL, 'to_home', None, None, ),  # 9
     (10, TType.I64, 'body_size', None, None, ),  # 10
     (11, TType.STRING, 'key', 'UTF8', None, ),  # 11
-    (12, TType.BOOL, 'first', None, None, ),  # 12
+    (12, TType.I32, 'attempt', None, None, ),  # 12
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
--- a/tests/deduplication/test_runner.py
+++ b/tests/deduplication/test_runner.py
@@ -149,7 +149,7 @@
     pending: list[Attempt] = field(default_factory=list)
     started: dict[str, int] = field(default_factory=dict)
     keys: list[str] = field(default_factory=list)
-    sent: set[str] = field(default_factory=set)
+    sent: dict[str, int] = field(default_factory=dict)
     lives: int = 0
     faults: list[str] = field(default_factory=list)
 
@@ -265,7 +265,7 @@
         """Belong to the protocol of the directory."""
 
 
-def _call(key: str, *, first: bool) -> Call:
+def _call(key: str, *, attempt: int) -> Call:
     context = CallContext(
         request_id='r',
         execution_id='',
@@ -281,16 +281,16 @@
         headers=(),
         body=b'bin 7',
         key=key,
-        first=first,
+        attempt=attempt,
     )
 
 
 async def _send(estate: Estate, step: SendCall) -> None:
     node = estate.nodes[step.node]
     key = estate.keys[step.key]
-    first = step.declared and key not in estate.sent
-    estate.sent.add(key)
-    match await node.runner.call(_call(key, first=first)):
+    estate.sent[key] = estate.sent.get(key, 0) + 1
+    attempt = estate.sent[key] if step.declared else 0
+    match await node.runner.call(_call(key, attempt=attempt)):
         case Result(tag='ok', ok=answer):
             assert answer == _ANSWER
             assert estate.started[key] == 1
@@ -354,7 +354,7 @@
         await estate.replace(0)
         home = estate.nodes[0].runner
         # The address of a replaced home is that of the key's home.
-        outcome = await home.serve_home(_call(estate.keys[0], first=False))
+        outcome = await home.serve_home(_call(estate.keys[0], attempt=0))
         tasks.cancel_scope.cancel()
     return outcome
 
@@ -364,3 +364,32 @@
     outcome = anyio.run(_send_to_replaced_home)
     assert isinstance(outcome.error, MayHaveRun)
     assert outcome.error.reason is Reason.HOME_LOST
+
+
+async def _deliver_late() -> tuple[Outcome, Outcome, Estate]:
+    async with anyio.create_task_group() as tasks:
+        estate = Estate(tasks=tasks)
+        await estate.start()
+        home = estate.nodes[0].runner
+        outcomes: list[Outcome] = []
+
+        async def send(attempt: int) -> None:
+            call = _call(estate.keys[0], attempt=attempt)
+            outcomes.append(await home.serve_home(call))
+
+        tasks.start_soon(send, 2)
+        await _settle()
+        _end_run(estate, 0, Error(NotRun(reason=Reason.OVERLOADED)))
+        await _settle()
+        tasks.start_soon(send, 1)
+        await _settle()
+        tasks.cancel_scope.cancel()
+    return outcomes[0], outcomes[1], estate
+
+
+def test_late_attempt_does_not_start_what_was_denied() -> None:
+    """An attempt held up on its way must not make an earlier not-run false."""
+    denied, late, estate = anyio.run(_deliver_late)
+    assert isinstance(denied.error, NotRun)
+    assert isinstance(late.error, MayHaveRun)
+    assert not estate.pending
--- a/tests/lab/fuzz/test_play.py
+++ b/tests/lab/fuzz/test_play.py
@@ -8,7 +8,7 @@
 from savorystand.lab.fuzz.play import play
 from savorystand.lab.fuzz.rules import Step
 
-_STEPS = 720
+_STEPS = 960
 
 
 @pytest.mark.parametrize('seed', [1, 2, 3])
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -122,7 +122,7 @@
 async def _serve_issued(self: Any, call: Any, key: Any) -> Any:
     if not self.issuer.verify(key):
         return Error(NotRun(reason=Reason.KEY_REQUIRED))
-    decision = self._ledger.begin_issued(key, fingerprint(call))
+    decision = self._ledger.begin_issued(key, fingerprint(call), call.attempt)
     return await self._follow(call, decision)
 
 
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -52,8 +52,8 @@
   9: optional bool to_home,
   10: required i64 body_size,
   11: optional string key,
-  // The caller says that it sends the request for the first time.
-  12: optional bool first,
+  // Number of the caller's attempt at the request, from 1.
+  12: optional i32 attempt,
 }
 
 struct BodyChunk {
