Report only the queue that short calls wait in

Cause: in the uploads experiment lookup p99 rose from 41 to 154 ms: waiting uploads made all near targets look busy, and lookups went to other regions. Change: the load report counts waiting short calls only.

--- a/src/savorystand/admission/queue.py
+++ b/src/savorystand/admission/queue.py
@@ -108,12 +108,16 @@
         self._grant()
 
     def load(self) -> TargetLoad:
-        """Return the load for the reports to callers."""
+        """Return the load for the reports to callers.
+
+        Long calls that wait are left out: short ones do not wait behind them,
+        and would be sent to other regions because of them.
+        """
         normal = Importance.NORMAL
         wait_ms = self._forecast.wait_ms(normal, is_long=False)
         return TargetLoad(
             in_flight=self._usage.in_use(),
-            queued=len(self._waiting),
+            queued=self._waiting.count(is_long=False),
             limit=self._limit.current(),
             admitted_rank=self._rank.current(),
             expected_ms=int(wait_ms + self._times.mean_ms(is_long=False)),
