Remember the mix of calls for longer and pass on what targets serve

In the crest, entry nodes shed all normal calls while all targets reported a higher rank, and slots stood idle between two reports. Change: counts halve in 20 s instead of 0.25 s; the share of calls sent on although all targets shed adapts to whether they are served.

--- a/src/savorystand/admission/service_times.py
+++ b/src/savorystand/admission/service_times.py
@@ -29,9 +29,9 @@
 # Calls of a class this many times slower than the pool's median are long.
 _LONG_FACTOR = 5
 _MEDIAN_REFRESH_MS = 250
-# Counts halve at each refresh of the median, so that it follows the mix of
-# the last second.
-_COUNT_DECAY = 0.5
+# Counts halve in about 20 s. A shorter memory lets long calls become the
+# median, and with it take all slots, as soon as short ones go elsewhere.
+_COUNT_DECAY = 0.9914
 
 
 @final
--- a/src/savorystand/routing/pool_view.py
+++ b/src/savorystand/routing/pool_view.py
@@ -17,6 +17,11 @@
     from savorystand.transport.address import PeerAddress
 
 
+_LEAST_PASS_SHARE = 0.02
+_PASS_RAISE = 0.05
+_PASS_CUT = 0.8
+
+
 @final
 class Target:
     """A member of the pool and what is known of it."""
@@ -35,6 +40,7 @@
 
     __slots__ = (
         '_members',
+        '_pass_shares',
         '_shed_ms',
         '_targets',
         'distances',
@@ -47,6 +53,7 @@
         self._members: list[Member] = []
         self._targets: dict[str, Target] = {}
         self._shed_ms = -math.inf
+        self._pass_shares: dict[Importance, float] = {}
         # Own failure domain, own region, other regions.
         self.distances: tuple[list[Target], ...] = ([], [], [])
         self.routes: dict[str, RouteTimes] = {}
@@ -112,6 +119,24 @@
             for target in self._targets.values()
         )
 
+    def pass_share(self, importance: Importance) -> float:
+        """Return the part of the calls to send although all targets shed."""
+        return self._pass_shares.get(importance, _LEAST_PASS_SHARE)
+
+    def record_passed(self, importance: Importance, *, served: bool) -> None:
+        """Adapt the part to whether such a call was served or shed.
+
+        Targets serve any call while a slot is free, whatever they report: too
+        little sent on would leave slots idle between two reports.
+        """
+        share = self.pass_share(importance)
+        if served:
+            share += _PASS_RAISE
+        else:
+            share *= _PASS_CUT
+        bounded = min(max(share, _LEAST_PASS_SHARE), 1)
+        self._pass_shares[importance] = bounded
+
 
 def distance(member: Member, myself: Member) -> int:
     """Return 0 in the own failure domain, 1 in the own region, else 2."""
--- a/src/savorystand/routing/router.py
+++ b/src/savorystand/routing/router.py
@@ -29,8 +29,6 @@
 # One in so many calls goes to a slow or failing target to see whether it has
 # recovered: half a percent leaves the 99th percentile alone.
 _PROBE_PICKS = 200
-# Share of calls sent on although all targets report that they shed them.
-_SHED_PROBE_SHARE = 0.02
 _SHED_RETRY_AFTER_MS = 500
 _FAR = 2
 # The target was not reached, or takes no new work.
@@ -118,7 +116,7 @@
         importance = call.context.importance
         if not view.all_shed(importance, self._clock.now()):
             return None
-        if probe and self._random.random() < _SHED_PROBE_SHARE:
+        if probe and self._random.random() < view.pass_share(importance):
             return None
         pool = call.route.pool
         rank = importance.name.lower()
@@ -178,6 +176,9 @@
         if outcome is None or outcome.is_error():
             times.record_unfinished(elapsed_ms)
             stats.record_unfinished(times.ratio(elapsed_ms), now)
+        if view.any_sheds(now) and outcome is not None:
+            importance = call.context.importance
+            view.record_passed(importance, served=outcome.is_ok())
         match outcome:
             case Result(tag='ok', ok=answer):
                 times.record(elapsed_ms)
