Name the address that a node cannot listen on

Cause: a port in use gave 'unhandled errors in a TaskGroup'. Change: the first cause of nested groups is shown, with its address.

--- a/src/savorystand/gateway/server.py
+++ b/src/savorystand/gateway/server.py
@@ -136,7 +136,7 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         sock.bind((host, port))
-    except OSError:
+    except OSError as exc:
         sock.close()
-        raise
+        raise OSError(exc.errno, exc.strerror, f'{host}:{port}') from exc
     return sock
--- a/src/savorystand/node/application.py
+++ b/src/savorystand/node/application.py
@@ -54,9 +54,16 @@
     try:
         run_node(cfg, replace={})
     except* CertificateError as refused:
-        _fail(str(refused.exceptions[0]), EXIT_SETTINGS)
+        _fail(str(_first_cause(refused)), EXIT_SETTINGS)
     except* OSError as group:
-        _fail(f'cannot listen: {group.exceptions[0]}', EXIT_ADDRESS)
+        _fail(f'cannot listen: {_first_cause(group)}', EXIT_ADDRESS)
+
+
+def _first_cause(exc: BaseException) -> BaseException:
+    # Services run in nested task groups, each of which wraps its failures.
+    while isinstance(exc, BaseExceptionGroup):
+        exc = exc.exceptions[0]
+    return exc
 
 
 def _fail(message: str, code: int) -> None:
