--- a/src/savorystand/admission/slow_watch.py
+++ b/src/savorystand/admission/slow_watch.py
@@ -19,11 +19,12 @@
 # A slow target gets next to no calls, so that nothing shows its recovery:
 # after this time it is taken for recovered, and callers return in steps. The
 # time doubles while it is found slow again.
-_HOLD_MS = 1000
+_HOLD_MS = 2000
 _MAX_HOLD_MS = 8000
-# Soon after a slow spell fewer signs are enough.
-_RELAPSE_MS = 10000
-_RELAPSE_SIGNS = 2
+# While callers return in steps after a slow spell, one sign is enough. The
+# calls of these steps are so few that chance signs seldom prolong the spell.
+_RELAPSE_MS = 2000
+_RELAPSE_SIGNS = 1
 
 
 @final
--- a/src/savorystand/routing/target_stats.py
+++ b/src/savorystand/routing/target_stats.py
@@ -31,8 +31,10 @@
 _MOST_SLOWNESS = 100
 _SLOW = 2
 _FAILING = 0.2
-# Part of the limit above which calls are likely to queue.
+# Part of the limit above which calls are likely to queue. Of a small limit all
+# is used, as each slot kept free would send calls to other regions.
 _BUSY = 0.8
+_SMALL_LIMIT = 20
 _AVOID_MS = MS_PER_SECOND
 # Outlasts some lost pushes of a slow target, which repeats them.
 _SLOW_REPORT_MS = 1500
@@ -136,7 +138,10 @@
             if self.load.admitted_rank > importance:
                 return True
             used = max(used, self.load.in_flight + self.load.queued)
-        return self.load.limit > 0 and used >= self.load.limit * _BUSY
+        limit = self.load.limit
+        if 0 < limit < _SMALL_LIMIT:
+            return used >= limit
+        return limit > 0 and used >= limit * _BUSY
 
     def expected_ms(self, mean_ms: float, now: float) -> float:
         """Return the expected completion time of one more call.
