--- a/src/savorystand/routing/draw.py
+++ b/src/savorystand/routing/draw.py
@@ -79,7 +79,17 @@
         if best is not None:
             pair.append(best)
         if not pair:
-            return next(filter(self._usable, group), None)
+            # One that gets its share in steps is left to the draws: alone in
+            # its failure domain it would get all calls at once.
+            return next(
+                (
+                    target
+                    for target in group
+                    if self._usable(target)
+                    and target.stats.share(self.now) >= 1
+                ),
+                None,
+            )
         return min(pair, key=self._cost)
 
     def _pair(self, group: list[Target]) -> Iterator[Target]:
@@ -134,7 +144,7 @@
         ]
         return min(
             left,
-            key=lambda target: target.stats.avoid_until_ms,
+            key=lambda one: (one.stats.avoid_until_ms, self.rng.random()),
             default=None,
         )
 
