--- a/src/savorystand/gateway/server.py
+++ b/src/savorystand/gateway/server.py
@@ -95,10 +95,16 @@
                 self._end_slow_clients()
 
     def stop_accepting(self) -> None:
-        """Take no new connections; open ones close after their next answer."""
+        """Take no new connections; open ones close after their next answer.
+
+        Idle ones close now: a request that crosses with the close is repeated
+        by its caller while this node still serves the keys that it issued.
+        """
         self._app.close_connections()
         for server in self._server.servers:
             server.close()
+        for conn in list(self._server.server_state.connections):
+            conn.shutdown()
 
     async def drain(self) -> None:
         """Finish the requests in progress and close all connections."""
