--- a/src/savorystand/routing/draw.py
+++ b/src/savorystand/routing/draw.py
@@ -96,19 +96,15 @@
         first: Target | None = None
         for _ in range(_DRAWS if group else 0):
             target = group[int(self.rng.random() * len(group))]
-            if target is first or not self._takes(target):
+            if target is first or not self._usable(target):
+                continue
+            if target.stats.declines(self.now, self.rng.random()):
                 continue
             yield target
             if first is not None:
                 return
             first = target
 
-    def _takes(self, target: Target) -> bool:
-        if not self._usable(target):
-            return False
-        share = target.stats.share(self.now)
-        return share >= 1 or self.rng.random() < share
-
     def _usable(self, target: Target) -> bool:
         if target.member.peer.node_id in self.tried:
             return False
@@ -135,19 +131,25 @@
         ]
 
     def _any_left(self) -> Target | None:
-        # A near target to avoid is still better than none.
-        left = [
-            target
-            for group in self.view.distances[:2]
-            for target in group
-            if target.member.peer.node_id not in self.tried
-        ]
+        # A target to avoid, or one that gets its share in steps, is still
+        # better than none; a near one is better than a far one.
+        own, region, far = self.view.distances
+        near = self._untried([*own, *region])
+        if not near and self._reaches_far():
+            near = self._untried(far)
         return min(
-            left,
+            near,
             key=lambda one: (one.stats.avoid_until_ms, self.rng.random()),
             default=None,
         )
 
+    def _untried(self, targets: list[Target]) -> list[Target]:
+        return [
+            target
+            for target in targets
+            if target.member.peer.node_id not in self.tried
+        ]
+
     def _cost(self, target: Target) -> float:
         cost = target.stats.expected_ms(max(self._mean_ms(), 1), self.now)
         if target.stats.sheds(self.call.context.importance, self.now):
--- a/src/savorystand/routing/target_stats.py
+++ b/src/savorystand/routing/target_stats.py
@@ -98,6 +98,14 @@
             return 1
         return _ARRIVAL_SHARES[int(step)]
 
+    def declines(self, now: float, chance: float) -> bool:
+        """Return True if a draw passes a target by that is still new.
+
+        ``chance`` is a random number from 0 to 1.
+        """
+        share = self.share(now)
+        return share < 1 and chance >= share
+
     def sheds(self, importance: Importance, now: float) -> bool:
         """Return True if a report in force excludes the importance."""
         if self.load.admitted_rank <= importance:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -168,3 +168,14 @@
     assert refused(Importance.HIGH) == 0
     caller.clock.advance(500)
     assert refused() == 0
+
+
+def test_only_new_far_targets_are_better_than_none() -> None:
+    """Targets that arrive together, all of them afar, must get the calls."""
+    caller = _Caller([make_member('gone')])
+    caller.pick()
+    names = ('far1', 'far2')
+    caller.directory.listed = [
+        make_member(name, domain='c', region='other') for name in names
+    ]
+    assert all(caller.pick() is not None for _ in range(50))
