--- a/src/savorystand/routing/draw.py
+++ b/src/savorystand/routing/draw.py
@@ -79,32 +79,25 @@
         if best is not None:
             pair.append(best)
         if not pair:
-            # One that gets its share in steps is left to the draws: alone in
-            # its failure domain it would get all calls at once.
-            return next(
-                (
-                    target
-                    for target in group
-                    if self._usable(target)
-                    and target.stats.share(self.now) >= 1
-                ),
-                None,
-            )
+            return next(filter(self._usable, group), None)
         return min(pair, key=self._cost)
 
     def _pair(self, group: list[Target]) -> Iterator[Target]:
         first: Target | None = None
         for _ in range(_DRAWS if group else 0):
             target = group[int(self.rng.random() * len(group))]
-            if target is first or not self._usable(target):
-                continue
-            if target.stats.declines(self.now, self.rng.random()):
+            if target is first or not self._takes(target):
                 continue
             yield target
             if first is not None:
                 return
             first = target
 
+    def _takes(self, target: Target) -> bool:
+        if not self._usable(target):
+            return False
+        return not target.stats.declines(self.now, self.rng.random())
+
     def _usable(self, target: Target) -> bool:
         if target.member.peer.node_id in self.tried:
             return False
@@ -134,22 +127,15 @@
         # A target to avoid, or one that gets its share in steps, is still
         # better than none; a near one is better than a far one.
         own, region, far = self.view.distances
-        near = self._untried([*own, *region])
-        if not near and self._reaches_far():
-            near = self._untried(far)
+        left = _untried([*own, *region], self.tried)
+        if not left and self._reaches_far():
+            left = _untried(far, self.tried)
         return min(
-            near,
+            left,
             key=lambda one: (one.stats.avoid_until_ms, self.rng.random()),
             default=None,
         )
 
-    def _untried(self, targets: list[Target]) -> list[Target]:
-        return [
-            target
-            for target in targets
-            if target.member.peer.node_id not in self.tried
-        ]
-
     def _cost(self, target: Target) -> float:
         cost = target.stats.expected_ms(max(self._mean_ms(), 1), self.now)
         if target.stats.sheds(self.call.context.importance, self.now):
@@ -161,3 +147,9 @@
 
     def _left_ms(self) -> float:
         return self.call.context.deadline_ms - self.now
+
+
+def _untried(targets: list[Target], tried: frozenset[str]) -> list[Target]:
+    return [
+        target for target in targets if target.member.peer.node_id not in tried
+    ]
