Write the lab's tables with the functions that it already had

Cause: publishing.py built the TOML of both tables a second time, beside routes_toml and pools_toml, which nothing called; console.output kept an unused row_document. Change: pools_toml takes any pools and serves the edits too; the twins and the unused function are gone. Behaviour is the same.

--- a/src/savorystand/console/output.py
+++ b/src/savorystand/console/output.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 import json
-from dataclasses import asdict
 from typing import TYPE_CHECKING
 from typing import Any
 
 import click
 
 from savorystand.tables.difference import Change
-from savorystand.tables.difference import Row
 from savorystand.tables.difference import describe
-from savorystand.tables.route import Route
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -45,14 +42,3 @@
         'kind': type(change).__name__.lower(),
         'text': describe(change),
     }
-
-
-def row_document(row: Row) -> dict[str, Any]:
-    """Return a row for JSON output, with the fields of its table."""
-    document = asdict(row)
-    if isinstance(row, Route):
-        document['match'] = f'{row.method} {row.path}'
-        document['importance'] = row.importance.name.lower()
-        document.pop('method')
-        document.pop('path')
-    return document
--- a/src/savorystand/lab/deployments/deployment.py
+++ b/src/savorystand/lab/deployments/deployment.py
@@ -4,12 +4,19 @@
 
 from dataclasses import dataclass
 from dataclasses import replace
+from typing import TYPE_CHECKING
 from typing import final
 
 from savorystand.clock import MS_PER_SECOND
 from savorystand.lab.targets.description import Downstream
 from savorystand.lab.targets.description import Work
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from savorystand.tables.pool import Pool
+
+
 WORKERS = 6
 DOMAINS_PER_REGION = 2
 
@@ -194,12 +201,12 @@
     return '\n'.join(rows)
 
 
-def pools_toml(deployment: Deployment) -> str:
+def pools_toml(pools: Iterable[LabPool | Pool]) -> str:
     """Return the pools table as operators write it."""
     return '\n'.join(
         '[[pool]]\n'
         f'name = "{pool.name}"\n'
         f'slots = {pool.slots}\n'
         f'connections = {pool.connections}\n'
-        for pool in deployment.pools
+        for pool in pools
     )
--- a/src/savorystand/lab/deployments/publishing.py
+++ b/src/savorystand/lab/deployments/publishing.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from savorystand.clock import Clock
+from savorystand.lab.deployments.deployment import pools_toml
+from savorystand.lab.deployments.deployment import routes_toml
 from savorystand.lab.deployments.processes import EstateError
 from savorystand.lab.deployments.settings_file import PLATFORM_KEY
 from savorystand.lab.http_client import send_json
@@ -21,13 +22,9 @@
 from savorystand.tables.repository import TableRepository
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from savorystand.lab.deployments.deployment import Deployment
-    from savorystand.lab.deployments.deployment import LabPool
     from savorystand.settings.node import Address
     from savorystand.tables.document import TablesDocument
-    from savorystand.tables.pool import Pool
 
 
 _READ_ROUNDS = 50
@@ -58,8 +55,8 @@
         Raises:
             EstateError: the edit was not accepted.
         """
-        routes = routes_text(deployment)
-        pools = _rows_text('pool', map(_pool_row, deployment.pools))
+        routes = routes_toml(deployment)
+        pools = pools_toml(deployment.pools)
         try:
             accepted = await self._editor.apply(routes, pools, 0)
         except (EditError, ValueError) as exc:
@@ -135,31 +132,6 @@
         raise EstateError(f'platform stand-in: {problem}')
 
 
-def routes_text(deployment: Deployment) -> str:
-    """Return the routes table of a deployment as TOML."""
-    return _rows_text(
-        'route',
-        (
-            {
-                'name': route.name,
-                'match': route.match,
-                'pool': route.pool,
-                'importance': route.importance,
-                'idempotent': route.idempotent,
-            }
-            for route in deployment.routes
-        ),
-    )
-
-
-def _pool_row(pool: Pool | LabPool) -> dict[str, object]:
-    return {
-        'name': pool.name,
-        'slots': pool.slots,
-        'connections': pool.connections,
-    }
-
-
 def _with_connections(
     document: TablesDocument,
     name: str,
@@ -169,14 +141,4 @@
         replace(pool, connections=connections) if pool.name == name else pool
         for pool in parse_tables(document).pools
     )
-    return _rows_text('pool', map(_pool_row, pools))
-
-
-def _rows_text(kind: str, rows: Iterable[dict[str, object]]) -> str:
-    # Strings, numbers and booleans look the same in JSON and TOML.
-    tables = (
-        f'[[{kind}]]\n'
-        + ''.join(f'{name} = {json.dumps(row[name])}\n' for name in row)
-        for row in rows
-    )
-    return '\n'.join(tables)
+    return pools_toml(pools)
