--- /dev/null
+++ b/src/savorystand/dispatch/announcements.py
@@ -0,0 +1,110 @@
+"""Announcements that the own target makes of itself."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import final
+
+from savorystand.dispatch.own_pool import OwnPool
+from savorystand.reporting.events import target_changed
+from savorystand.reporting.logs import EventLog
+
+if TYPE_CHECKING:
+    from savorystand.kernel.kernel import Kernel
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Announcement:
+    """What a target says of itself.
+
+    ``instance`` and ``born_ms``, wall time at its start, name one life of the
+    target; ``sequence`` rises with each announcement in that life.
+    """
+
+    instance: str
+    born_ms: int
+    sequence: int
+    pool: str
+    slots: int
+    leaving: bool
+
+
+class Announcements:
+    """Takes announcements in the order in which they were made.
+
+    A late announcement, of this or of an earlier life, must not bring back a
+    target that has said since that it leaves.
+    """
+
+    __slots__ = ('_departed', '_kernel', '_last', '_log')
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        """Pass what is new on to the ``own pool`` of ``kernel``."""
+        self._kernel = kernel
+        self._log = kernel.find('log', EventLog)
+        self._last: Announcement | None = None
+        # The last life whose end was announced.
+        self._departed = ''
+
+    def take(self, announcement: Announcement) -> bool:
+        """Follow an announcement; return False if a later one is known."""
+        last = self._last
+        if last is not None and _life(announcement) == _life(last):
+            if announcement.sequence <= last.sequence:
+                return False
+        elif last is not None and announcement.born_ms < last.born_ms:
+            return False
+        if announcement.instance == self._departed and not (
+            last is None or announcement.born_ms > last.born_ms
+        ):
+            return False
+        self._last = announcement
+        self._follow(announcement, last)
+        return True
+
+    def depart(self, instance: str) -> None:
+        """Take the target's word that it is gone or about to be."""
+        if self._last is not None and self._last.instance != instance:
+            return
+        self._departed = instance
+        self._kernel.find('own pool', OwnPool).leave()
+        self._log.write(target_changed(instance, '', 'departed', 0))
+
+    def _follow(
+        self, announcement: Announcement, last: Announcement | None
+    ) -> None:
+        own_pool = self._kernel.find('own pool', OwnPool)
+        if announcement.leaving:
+            own_pool.leave()
+        else:
+            own_pool.announce(
+                announcement.pool,
+                slots=announcement.slots,
+                instance=announcement.instance,
+            )
+        if last is None or _told(last) != _told(announcement):
+            state = 'leaving' if announcement.leaving else 'ready'
+            self._log.write(
+                target_changed(
+                    announcement.instance,
+                    announcement.pool,
+                    state,
+                    announcement.sequence,
+                )
+            )
+
+
+def _life(announcement: Announcement) -> tuple[str, int]:
+    return announcement.instance, announcement.born_ms
+
+
+def _told(announcement: Announcement) -> tuple[object, ...]:
+    return (
+        announcement.instance,
+        announcement.born_ms,
+        announcement.pool,
+        announcement.slots,
+        announcement.leaving,
+    )
--- a/src/savorystand/dispatch/dispatcher.py
+++ b/src/savorystand/dispatch/dispatcher.py
@@ -46,7 +46,7 @@
         if call.context.deadline_ms <= self._clock.now():
             known = call.first or not call.key or call.route.idempotent
             return Error(not_seen(Reason.DEADLINE, detail='', known=known))
-        if call.route.idempotent:
+        if call.route.idempotent or not call.route.needs_key:
             return await self._kernel.find('attempts', Attempts).run(call)
         if not call.key:
             name = call.route.name
--- a/src/savorystand/dispatch/inbound.py
+++ b/src/savorystand/dispatch/inbound.py
@@ -11,6 +11,7 @@
 
 from savorystand.admission.queue import AdmissionQueue
 from savorystand.admission.queue import Permit
+from savorystand.call import Importance
 from savorystand.clock import Clock
 from savorystand.deduplication.runner import KeyedRunner
 from savorystand.dispatch.own_pool import OwnPool
@@ -19,6 +20,7 @@
 from savorystand.retry.executions import Execution
 from savorystand.retry.executions import ExecutionLedger
 from savorystand.tables.holder import TableHolder
+from savorystand.tables.route import Route
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 
@@ -27,17 +29,28 @@
     from savorystand.call import Outcome
     from savorystand.call import TargetLoad
     from savorystand.kernel.kernel import Kernel
-    from savorystand.tables.route import Route
 
 
 class Inbound:
     """Admits a call, runs it at the target and accounts for its budget."""
 
-    __slots__ = ('_admission', '_clock', '_executions', '_kernel', '_observer')
-
-    def __init__(self, *, kernel: Kernel) -> None:
-        """Find admission, executions and target in ``kernel``."""
+    __slots__ = (
+        '_admission',
+        '_any_route',
+        '_clock',
+        '_executions',
+        '_kernel',
+        '_observer',
+    )
+
+    def __init__(self, *, kernel: Kernel, any_route: bool = False) -> None:
+        """Find admission, executions and target in ``kernel``.
+
+        With ``any_route`` calls on routes that the tables in force do not
+        list are served as well: the caller may know a newer revision.
+        """
         self._kernel = kernel
+        self._any_route = any_route
         self._admission = kernel.find('admission', AdmissionQueue)
         self._executions = kernel.find('executions', ExecutionLedger)
         self._clock = kernel.find('clock', Clock)
@@ -45,7 +58,10 @@
 
     def route(self, name: str) -> Route | None:
         """Return the route of that name in the tables in force."""
-        return self._kernel.find('tables', TableHolder).current().route(name)
+        route = self._kernel.find('tables', TableHolder).current().route(name)
+        if route is None and self._any_route:
+            return _unlisted_route(name)
+        return route
 
     def load(self) -> TargetLoad:
         """Return the present load of the own target."""
@@ -56,6 +72,15 @@
         if call.to_home:
             keys = self._kernel.find('keys', KeyedRunner)
             return await keys.serve_home(call)
+        own_pool = self._kernel.find('own pool', OwnPool)
+        if not own_pool.serves(call.route.pool):
+            # The address was given to a target of another pool.
+            pool = call.route.pool
+            detail = f'not a target of {pool}'
+            left = call.context.retries_left
+            return Error(
+                NotRun(reason=Reason.DRAINING, detail=detail, retries_left=left)
+            )
         arrived = self._clock.now()
         admitted = await self._admission.admit(call)
         waited_ms = self._clock.now() - arrived
@@ -109,6 +134,18 @@
                 return Error(settled)
 
 
+def _unlisted_route(name: str) -> Route:
+    # Pool and importance of the call come with its frame.
+    return Route(
+        name=name,
+        method='',
+        path='',
+        pool='',
+        importance=Importance.NORMAL,
+        idempotent=False,
+    )
+
+
 def _is_refused(outcome: Outcome) -> bool:
     # The target's own refusal, which says that it was given too much.
     match outcome:
--- a/src/savorystand/dispatch/own_pool.py
+++ b/src/savorystand/dispatch/own_pool.py
@@ -23,27 +23,53 @@
 class OwnPool:
     """Follows the announcements of the target and the row of its pool."""
 
-    __slots__ = ('_failures', '_kernel', '_pool', '_serving')
+    __slots__ = (
+        '_failures',
+        '_kernel',
+        '_leave_ms',
+        '_pool',
+        '_serving',
+        '_slots',
+        'instance',
+    )
 
-    def __init__(self, *, kernel: Kernel) -> None:
-        """Start without a target, and take no work for it."""
+    def __init__(self, *, kernel: Kernel, leave_ms: float = LEAVE_MS) -> None:
+        """Start without a target, and take no work for it.
+
+        Work that peers still send is refused ``leave_ms`` after the target
+        has said that it leaves.
+        """
         self._kernel = kernel
+        self._leave_ms = leave_ms
         self._pool = ''
         self._serving = False
         self._failures = 0
+        self._slots = 0
+        # Names one life of the target, empty if it gives itself no name.
+        self.instance = ''
         # Peers may still route to an earlier life of this process, whose
         # target has left since.
         kernel.find('admission', AdmissionQueue).close_to_new_work()
         kernel.find('tables', TableHolder).watch(self._follow)
 
-    def announce(self, pool: str) -> None:
+    def serves(self, pool: str) -> bool:
+        """Return True unless the target is known to serve another pool."""
+        return not self._pool or pool == self._pool
+
+    def announce(
+        self, pool: str, *, slots: int = 0, instance: str = ''
+    ) -> None:
         """Take the target's word that it serves ``pool``.
 
         It gets calls once a revision of the tables has a row for the pool.
+        ``slots`` replaces the number of that row.
         """
-        if self._serving and pool == self._pool:
+        known = (self._pool, self._slots, self.instance)
+        if self._serving and known == (pool, slots, instance):
             return
         self._pool = pool
+        self._slots = slots
+        self.instance = instance
         self._serving = False
         self._follow(self._kernel.find('tables', TableHolder).current())
 
@@ -52,7 +78,7 @@
         if self._serving:
             self._kernel.find('membership', Directory).leave()
             admission = self._kernel.find('admission', AdmissionQueue)
-            admission.drain_after(LEAVE_MS)
+            admission.drain_after(self._leave_ms)
         self._serving = False
         self._pool = ''
 
@@ -71,7 +97,7 @@
         if row is None:
             return
         admission = self._kernel.find('admission', AdmissionQueue)
-        admission.set_slots(row.slots)
+        admission.set_slots(self._slots or row.slots)
         if not self._serving:
             admission.open_to_new_work()
             self._serving = True
--- a/src/savorystand/gateway/contexts.py
+++ b/src/savorystand/gateway/contexts.py
@@ -103,7 +103,11 @@
 
 
 def _deadline(headers: Headers) -> int:
-    text = names.header(headers, names.DEADLINE)
+    return deadline_ms(names.header(headers, names.DEADLINE))
+
+
+def deadline_ms(text: str) -> int:
+    """Return the time that a caller waits, as its header says."""
     # Longer numbers exceed any deadline, and int() refuses very long ones.
     if not text.isdecimal() or len(text) > _MAX_DIGITS:
         return DEFAULT_DEADLINE_MS
--- a/src/savorystand/gateway/http_connection.py
+++ b/src/savorystand/gateway/http_connection.py
@@ -13,7 +13,9 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from typing import TYPE_CHECKING
+from typing import TypeAlias
 from typing import cast
 
 from httptools import HttpParserError
@@ -24,8 +26,12 @@
 from savorystand.transport.conversion import MAX_BODY_BYTES
 
 if TYPE_CHECKING:
+    from savorystand.call import Headers
     from savorystand.clock import Clock
 
+# Tells by its headers whether a response answers the request in progress.
+Belongs: TypeAlias = Callable[['Headers'], bool]
+
 _MAX_HEADER_BYTES = 65536
 _FIRST_FINAL_STATUS = 200
 # Unacknowledged data older than this ends a connection (RFC 5482), so that
@@ -45,18 +51,25 @@
     """Collects one response from the parser's callbacks."""
 
     __slots__ = (
+        '_belongs',
         '_parser',
         '_size',
         'complete',
         'headers',
+        'headers_complete',
         'keep_alive',
         'parts',
+        'spoiled',
         'status',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, belongs: Belongs | None) -> None:
+        self._belongs = belongs
         self._parser = HttpResponseParser(self)
         self._size = 0
+        self.headers_complete = False
+        # Bytes of some other response arrived: nothing may follow.
+        self.spoiled = False
         self.headers: list[tuple[str, str]] = []
         self.parts: list[bytes] = []
         self.status = 0
@@ -67,34 +80,76 @@
         try:
             self._parser.feed_data(received)
         except HttpParserError as exc:
-            raise TargetProtocolError(str(exc)) from exc
+            self.spoiled = True
+            if not self.complete or self._belongs is None:
+                raise TargetProtocolError(str(exc)) from exc
 
     def on_message_begin(self) -> None:
-        if self.complete:
+        if not self.complete:
+            return
+        self.spoiled = True
+        if self._belongs is None:
             raise TargetProtocolError('a second response follows the first')
 
     def on_header(self, name: bytes, text: bytes) -> None:
+        if self.complete:
+            return
         self._grow(len(name) + len(text), _MAX_HEADER_BYTES)
         decoded = (name.decode('latin-1').lower(), text.decode('latin-1'))
         self.headers.append(decoded)
 
     def on_headers_complete(self) -> None:
+        if self.complete:
+            return
         self.status = self._parser.get_status_code()
+        self.headers_complete = True
         self._size = 0
 
     def on_body(self, body: bytes) -> None:
+        if self.complete:
+            return
         self._grow(len(body), MAX_BODY_BYTES)
         self.parts.append(body)
 
     def on_message_complete(self) -> None:
+        if self.complete:
+            return
         if self.status < _FIRST_FINAL_STATUS:
             # Interim responses (RFC 9110, section 15.2) precede the answer.
-            self.headers.clear()
+            self._restart()
+            return
+        if not self._is_answer():
+            # The late answer to an earlier request; the own one may follow.
+            self.spoiled = True
+            self._restart()
             return
         # The parser resets this after the callback.
         self.keep_alive = bool(self._parser.should_keep_alive())
         self.complete = True
 
+    def end(self) -> bool:
+        """Take the end of the connection; return True if it ends a body.
+
+        A response without a length or chunks ends so (RFC 9112, section 6.3).
+        """
+        if self.complete or not self.headers_complete:
+            return False
+        names = {name for name, _ in self.headers}
+        framed = names & {'content-length', 'transfer-encoding'}
+        if framed or not self._is_answer():
+            return False
+        self.spoiled = True
+        self.complete = True
+        return True
+
+    def _is_answer(self) -> bool:
+        return self._belongs is None or self._belongs(tuple(self.headers))
+
+    def _restart(self) -> None:
+        self.headers.clear()
+        self.parts.clear()
+        self.headers_complete = False
+
     def _grow(self, size: int, bound: int) -> None:
         self._size += size
         if self._size > bound:
@@ -134,9 +189,17 @@
         """Return True if another request may follow on this connection."""
         return self._reusable
 
-    async def exchange(self, request: bytes, left_ms: float) -> Answer:
+    async def exchange(
+        self,
+        request: bytes,
+        left_ms: float,
+        belongs: Belongs | None = None,
+    ) -> Answer:
         """Send an encoded request and return the whole response.
 
+        With ``belongs`` responses to other requests are dropped. Without it
+        a second response makes the first one doubtful.
+
         Raises:
             TargetProtocolError: the response is malformed, too long or cut.
             TimeoutError: it is not whole after ``left_ms`` milliseconds.
@@ -145,7 +208,7 @@
         if self._transport is None or not self._reusable:
             raise TargetProtocolError('connection is closed')
         self._reusable = False
-        reader = _ResponseReader()
+        reader = _ResponseReader(belongs)
         done = asyncio.get_running_loop().create_future()
         self._reader = reader
         self._done = done
@@ -158,7 +221,11 @@
         finally:
             timer.cancel()
             self._reader = None
-        self._reusable = reader.keep_alive and not self._transport.is_closing()
+        self._reusable = (
+            reader.keep_alive
+            and not reader.spoiled
+            and not self._transport.is_closing()
+        )
         return Answer(
             status=reader.status,
             headers=tuple(reader.headers),
@@ -195,6 +262,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress."""
         self._reusable = False
+        if exc is None and self._reader is not None and self._reader.end():
+            self._finish(None)
+            return
         self._finish(exc or TargetProtocolError('connection closed early'))
 
     def _finish(self, failure: Exception | None) -> None:
--- a/src/savorystand/gateway/server.py
+++ b/src/savorystand/gateway/server.py
@@ -7,6 +7,7 @@
 import ssl
 from collections.abc import Callable
 from typing import TYPE_CHECKING
+from typing import Protocol
 from typing import TypeAlias
 
 import anyio
@@ -21,7 +22,10 @@
 
     from anyio.abc import TaskStatus
 
-    from savorystand.gateway.application import HttpApplication
+    from savorystand.gateway.asgi import Receive
+    from savorystand.gateway.asgi import Scope
+    from savorystand.gateway.asgi import Send
+    from savorystand.settings.node import Address
 
 ContextFactory: TypeAlias = Callable[
     [Config, Callable[[], ssl.SSLContext]],
@@ -34,6 +38,18 @@
 KEEP_ALIVE_SECONDS = 5
 
 
+class ListenerApplication(Protocol):
+    """An ASGI application that can ask its clients to close."""
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one request (ASGI version 3)."""
+
+    def close_connections(self) -> None:
+        """Ask clients, from now on, to close after each answer."""
+
+
 class _Server(Server):
     @contextlib.contextmanager
     def capture_signals(self) -> Generator[None, None, None]:
@@ -44,20 +60,27 @@
 class HttpListener(Service):
     """One listener; ``uvicorn`` runs a task for each connection."""
 
-    __slots__ = ('_app', '_finished', '_host', '_port', '_server')
+    __slots__ = ('_addresses', '_app', '_finished', '_server')
 
     def __init__(
         self,
         *,
-        app: HttpApplication,
+        app: ListenerApplication,
         host: str,
         port: int,
         tls: ssl.SSLContext | None = None,
+        more: tuple[Address, ...] = (),
+        keep_alive_seconds: int = KEEP_ALIVE_SECONDS,
     ) -> None:
-        """Serve ``app`` on ``host`` and ``port``, with TLS if ``tls`` is set."""
+        """Serve ``app`` on ``host`` and ``port``, with TLS if ``tls`` is set.
+
+        ``more`` are further addresses that it listens on.
+        """
         self._app = app
-        self._host = host
-        self._port = port
+        self._addresses = (
+            (host, port),
+            *((one.host, one.port) for one in more),
+        )
         self._finished = anyio.Event()
         self._server = _Server(
             Config(
@@ -73,7 +96,7 @@
                 access_log=False,
                 server_header=False,
                 date_header=False,
-                timeout_keep_alive=KEEP_ALIVE_SECONDS,
+                timeout_keep_alive=keep_alive_seconds,
                 ssl_context_factory=_factory(tls),
             ),
         )
@@ -84,9 +107,9 @@
         Raises:
             OSError: the address cannot be bound.
         """
-        sock = bind_tcp(self._host, self._port)
+        socks = [bind_tcp(host, port) for host, port in self._addresses]
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._serve, sock)
+            tasks.start_soon(self._serve, socks)
             while not self._server.started:
                 await anyio.sleep(_POLL_SECONDS)
             task_status.started()
@@ -106,6 +129,10 @@
         for conn in list(self._server.server_state.connections):
             conn.shutdown()
 
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._server.server_state.connections)
+
     async def drain(self) -> None:
         """Finish the requests in progress and close all connections."""
         self._server.should_exit = True
@@ -116,9 +143,9 @@
             if isinstance(conn, BoundedProtocol):
                 conn.expire()
 
-    async def _serve(self, sock: socket.socket) -> None:
+    async def _serve(self, socks: list[socket.socket]) -> None:
         try:
-            await self._server.serve([sock])
+            await self._server.serve(socks)
         finally:
             self._finished.set()
 
--- a/src/savorystand/gateway/target_client.py
+++ b/src/savorystand/gateway/target_client.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
 from expression import Error
-from expression import Ok
 
 from savorystand.clock import MS_PER_SECOND
-from savorystand.gateway import headers as names
+from savorystand.gateway.dialect import ContextDialect
 from savorystand.gateway.errors import TargetProtocolError
 from savorystand.gateway.http_connection import HttpConnection
 from savorystand.verdict import MayHaveRun
@@ -22,9 +20,8 @@
     from savorystand.call import Call
     from savorystand.call import Outcome
     from savorystand.clock import Clock
+    from savorystand.gateway.dialect import TargetDialect
 
-_FAILED_STATUSES = frozenset((502, 503, 504))
-_NOT_RUN = 'not-run'
 # Targets may close idle connections; one that rested longer is not trusted
 # with a request, which would then fail as may-have-run.
 _MAX_IDLE_MS = 3000
@@ -46,11 +43,19 @@
     Admission bounds the calls at a time, and with them the connections.
     """
 
-    __slots__ = ('_clock', '_free', '_host', '_port')
+    __slots__ = ('_clock', '_dialect', '_free', '_host', '_port')
 
-    def __init__(self, *, clock: Clock, host: str, port: int) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        host: str,
+        port: int,
+        dialect: TargetDialect | None = None,
+    ) -> None:
         """Send calls to the target at ``host`` and ``port``."""
         self._clock = clock
+        self._dialect = dialect or ContextDialect(host=f'{host}:{port}')
         self._host = host
         self._port = port
         self._free: list[tuple[float, HttpConnection]] = []
@@ -64,7 +69,7 @@
             return _failure(progress, Reason.DEADLINE, 'target')
         except _BROKEN as exc:
             return _failure(progress, Reason.TARGET_FAILED, str(exc))
-        return _judge(answer)
+        return self._dialect.judge(answer)
 
     async def _exchange(
         self,
@@ -92,7 +97,9 @@
         # Set before the write: a failure inside it leaves the request in an
         # unknown state.
         progress.written = True
-        return await conn.exchange(request, left_ms)
+        return await conn.exchange(
+            request, left_ms, self._dialect.belongs(call)
+        )
 
     def _take(self) -> HttpConnection | None:
         while self._free:
@@ -119,14 +126,11 @@
         return call.context.deadline_ms - self._clock.now()
 
     def _encode(self, call: Call, execution_id: str, left_ms: float) -> bytes:
-        context = names.format_context(call.context, execution_id)
+        headers = self._dialect.request_headers(call, execution_id, left_ms)
         lines = [
             f'{call.method} {call.path} HTTP/1.1',
-            f'host: {self._host}:{self._port}',
+            *(f'{name}: {text}' for name, text in headers),
             f'content-length: {len(call.body)}',
-            f'{names.DEADLINE}: {int(left_ms)}',
-            f'{names.CONTEXT}: {context}',
-            *(f'{name}: {text}' for name, text in call.headers),
             '\r\n',
         ]
         return '\r\n'.join(lines).encode('latin-1') + call.body
@@ -136,14 +140,3 @@
     if progress.written:
         return Error(MayHaveRun(reason=reason, detail=detail))
     return Error(NotRun(reason=reason, detail=detail))
-
-
-def _judge(answer: Answer) -> Outcome:
-    verdict = names.header(answer.headers, names.VERDICT)
-    if verdict == _NOT_RUN:
-        detail = f'target refused with {answer.status}'
-        return Error(NotRun(reason=Reason.OVERLOADED, detail=detail))
-    if answer.status in _FAILED_STATUSES:
-        detail = f'target answered {answer.status}'
-        return Error(MayHaveRun(reason=Reason.TARGET_FAILED, detail=detail))
-    return Ok(replace(answer, headers=names.forwarded(answer.headers)))
--- a/src/savorystand/lab/node_runner.py
+++ b/src/savorystand/lab/node_runner.py
@@ -11,7 +11,7 @@
 from savorystand.lab.control import ControlEndpoint
 from savorystand.lab.control import listen
 from savorystand.node.builder import build_node
-from savorystand.node.builder import new_node_id
+from savorystand.node.identity import new_node_id
 
 if TYPE_CHECKING:
     from savorystand.kernel.kernel import Factory
--- a/src/savorystand/membership/membership.py
+++ b/src/savorystand/membership/membership.py
@@ -56,6 +56,7 @@
         '_port',
         '_swim',
         '_tables_answer',
+        'contact',
     )
 
     def __init__(
@@ -92,6 +93,8 @@
             on_failure=self._swim.check,
         )
         self._tables_answer: FrameAnswer | None = None
+        # Probes the node at a host and port learned elsewhere.
+        self.contact = self._swim.contact
 
     def myself(self) -> Member:
         """Return the record of this node."""
--- /dev/null
+++ b/src/savorystand/membership/rendezvous.py
@@ -0,0 +1,108 @@
+"""Makes nodes known to each other through a register in the store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+from typing import Protocol
+from typing import TypeAlias
+
+from savorystand.clock import Clock
+from savorystand.kernel.service import Service
+from savorystand.platform.errors import StoreError
+from savorystand.reporting.events import dependency_changed
+from savorystand.reporting.logs import EventLog
+
+if TYPE_CHECKING:
+    import random
+
+    from anyio.abc import TaskStatus
+
+    from savorystand.kernel.kernel import Kernel
+    from savorystand.settings.node import Address
+
+Contact: TypeAlias = Callable[[str, int], None]
+
+# Members that a new node contacts; the others hear of it by gossip.
+_CONTACTS = 24
+# Pauses between two tries while the store does not answer, in milliseconds.
+_LEAST_PAUSE_MS = 300
+_MOST_PAUSE_MS = 1000
+
+
+class NodeRegister(Protocol):
+    """Addresses of nodes, kept in the store until they are replaced."""
+
+    async def add(self, address: Address) -> None:
+        """Add an address; adding it again changes nothing.
+
+        Raises:
+            StoreError: the address may not have been added.
+        """
+
+    async def addresses(self) -> Sequence[Address]:
+        """Return all addresses, those of nodes that are gone included.
+
+        Raises:
+            StoreError: the store gave no answer.
+        """
+
+
+class Rendezvous(Service):
+    """Registers this node and contacts those that are registered.
+
+    Each node adds itself before it reads, so that of two nodes that start
+    together at least one finds the other. Later changes spread by gossip.
+    """
+
+    __slots__ = ('_clock', '_contact', '_log', '_own', '_random', '_register')
+
+    def __init__(
+        self,
+        *,
+        kernel: Kernel,
+        register: NodeRegister,
+        own: Address,
+        contact: Contact,
+        rng: random.Random,
+    ) -> None:
+        """Register ``own``; pass addresses found to ``contact``."""
+        self._clock = kernel.find('clock', Clock)
+        self._log = kernel.find('log', EventLog)
+        self._register = register
+        self._own = own
+        self._contact = contact
+        self._random = rng
+
+    async def run(self, *, task_status: TaskStatus[None]) -> None:
+        """Try until the node is registered and has contacted others."""
+        task_status.started()
+        failed = False
+        while True:
+            try:
+                found = await self._meet()
+            except StoreError as exc:
+                if not failed:
+                    self._note('lost', str(exc))
+                failed = True
+                pause_ms = self._random.uniform(_LEAST_PAUSE_MS, _MOST_PAUSE_MS)
+                await self._clock.sleep(pause_ms)
+                continue
+            self._note('regained', f'{found} addresses')
+            return
+
+    async def _meet(self) -> int:
+        await self._register.add(self._own)
+        known = [
+            (address.host, address.port)
+            for address in await self._register.addresses()
+            if address != self._own
+        ]
+        self._random.shuffle(known)
+        for host, port in known[:_CONTACTS]:
+            self._contact(host, port)
+        return len(known)
+
+    def _note(self, state: str, detail: str) -> None:
+        self._log.write(dependency_changed('node register', state, detail))
--- a/src/savorystand/membership/swim.py
+++ b/src/savorystand/membership/swim.py
@@ -49,6 +49,7 @@
         '_random',
         '_turn',
         '_woken_ms',
+        'contact',
         'malformed',
         'revision_observers',
         'seeds',
@@ -78,6 +79,8 @@
             rng=rng,
             send=send,
         )
+        # Probes an address, whatever process listens there.
+        self.contact = self._outgoing.contact
         self._probes = PendingProbes()
         members.death_observers.append(self.check)
         # Node ids left to probe in this round.
--- /dev/null
+++ b/src/savorystand/node/__main__.py
@@ -0,0 +1,82 @@
+"""The program of a node beside a worker of the users' platform."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import anyio
+
+from savorystand.node.identity import new_node_id
+from savorystand.node.sidecar import build_sidecar
+from savorystand.platform.settings import PATH_VARIABLE
+from savorystand.platform.settings import load_deployment
+from savorystand.reporting.events import settings_reloaded
+from savorystand.reporting.logs import Event
+from savorystand.reporting.logs import EventLog
+from savorystand.reporting.logs import EventName
+from savorystand.reporting.logs import log_handler
+from savorystand.settings.errors import SettingsError
+
+if TYPE_CHECKING:
+    from savorystand.kernel.kernel import Kernel
+    from savorystand.platform.settings import Deployment
+
+_EXIT_SETTINGS = 2
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+def main() -> None:
+    """Run the node that the platform's settings file describes."""
+    path = Path(os.environ.get(PATH_VARIABLE, ''))
+    try:
+        cfg = load_deployment(path)
+    except SettingsError as exc:
+        sys.stderr.write(f'error: {exc}\n')
+        sys.exit(_EXIT_SETTINGS)
+    log_handler(stream=sys.stdout).push_application()
+    anyio.run(_run, cfg, path, backend_options={'use_uvloop': True})
+
+
+async def _run(cfg: Deployment, path: Path) -> None:
+    stop = anyio.Event()
+    with anyio.open_signal_receiver(*_STOP_SIGNALS, signal.SIGHUP) as received:
+        kernel = build_sidecar(cfg, node_id=new_node_id())
+        log = kernel.find('log', EventLog)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_serve, kernel, stop, tasks.cancel_scope)
+            log.write(
+                Event(
+                    name=EventName.NODE_STARTED,
+                    more=(('service', cfg.service),),
+                )
+            )
+            async for number in received:
+                if number in _STOP_SIGNALS:
+                    stop.set()
+                else:
+                    log.write(settings_reloaded(_difference(cfg, path)))
+
+
+async def _serve(
+    kernel: Kernel, stop: anyio.Event, scope: anyio.CancelScope
+) -> None:
+    await kernel.run(stop)
+    scope.cancel()
+
+
+def _difference(cfg: Deployment, path: Path) -> str:
+    # Addresses and bounds hold for the life of a process. Operators see
+    # whether the next start would use others.
+    try:
+        now = load_deployment(path)
+    except SettingsError as exc:
+        return f'kept: {exc}'
+    return 'unchanged' if now == cfg else 'changed, in force at the next start'
+
+
+if __name__ == '__main__':
+    main()
--- a/src/savorystand/node/application.py
+++ b/src/savorystand/node/application.py
@@ -11,7 +11,7 @@
 import click
 
 from savorystand.node.builder import build_node
-from savorystand.node.builder import new_node_id
+from savorystand.node.identity import new_node_id
 from savorystand.reporting.logs import log_handler
 from savorystand.settings.errors import SettingsError
 from savorystand.settings.loader import load_settings
--- a/src/savorystand/node/builder.py
+++ b/src/savorystand/node/builder.py
@@ -2,19 +2,13 @@
 
 from __future__ import annotations
 
-import random
-import secrets
 from typing import TYPE_CHECKING
 
-from savorystand.admission.queue import AdmissionQueue
 from savorystand.clock import Clock
 from savorystand.deduplication.ledger import KeyLedger
 from savorystand.deduplication.runner import KeyedRunner
 from savorystand.dispatch.attempts import Attempts
-from savorystand.dispatch.dispatcher import Dispatcher
 from savorystand.dispatch.inbound import Inbound
-from savorystand.dispatch.load_publisher import LoadPublisher
-from savorystand.dispatch.local import LocalOrRemote
 from savorystand.dispatch.own_pool import OwnPool
 from savorystand.gateway.admin import AdminEndpoints
 from savorystand.gateway.application import FromCallers
@@ -23,22 +17,16 @@
 from savorystand.gateway.server import HttpListener
 from savorystand.gateway.target_client import TargetClient
 from savorystand.kernel.kernel import Kernel
-from savorystand.membership.directory import FailureObserver
-from savorystand.membership.membership import Membership
 from savorystand.node.departure import Departure
 from savorystand.node.networks import NETWORK
 from savorystand.node.networks import listener_context
 from savorystand.node.networks import network_plan
+from savorystand.node.plans import dispatch_plan
+from savorystand.node.plans import policy_plan
+from savorystand.node.plans import state_plan
 from savorystand.node.platform import platform_plan
 from savorystand.reporting.endpoints import ReportEndpoints
 from savorystand.reporting.setup import reporting_plan
-from savorystand.retry.executions import ExecutionLedger
-from savorystand.retry.policy import RetryPolicy
-from savorystand.routing.router import Router
-from savorystand.tables.holder import TableHolder
-from savorystand.transport.inbound import ControlPeer
-from savorystand.transport.peers import PeerTransport
-from savorystand.trust.seal import DatagramSeal
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -46,13 +34,6 @@
     from savorystand.kernel.kernel import Factory
     from savorystand.settings.node import NodeSettings
 
-_ID_BYTES = 8
-
-
-def new_node_id() -> str:
-    """Return the id of one life of a node: 64 random bits in hex."""
-    return secrets.token_hex(_ID_BYTES)
-
 
 def build_node(
     cfg: NodeSettings,
@@ -73,7 +54,7 @@
         **network_plan(cfg, replace),
         **_state_plan(cfg, node_id),
         **reporting_plan(cfg, node_id),
-        **_policy_plan(),
+        **policy_plan(),
         **_path_plan(cfg, node_id),
         **_listener_plan(cfg),
     }
@@ -85,33 +66,7 @@
 
 
 def _state_plan(cfg: NodeSettings, node_id: str) -> dict[str, Factory]:
-    return {
-        'tables': lambda kernel: TableHolder(),
-        'transport': lambda kernel: PeerTransport(
-            kernel=kernel,
-            host=cfg.peers.host,
-            port=cfg.peers.port,
-        ),
-        'datagram seal': lambda kernel: DatagramSeal(admin_key=cfg.admin_key),
-        'membership': lambda kernel: Membership(
-            kernel=kernel,
-            cfg=cfg,
-            node_id=node_id,
-        ),
-        'control': lambda kernel: kernel.find('membership', ControlPeer),
-        **platform_plan(cfg, node_id),
-    }
-
-
-def _policy_plan() -> dict[str, Factory]:
-    return {
-        'executions': lambda kernel: ExecutionLedger(),
-        'admission': lambda kernel: AdmissionQueue(
-            clock=kernel.find('clock', Clock),
-        ),
-        'retry': lambda kernel: RetryPolicy(),
-        'routing': _router,
-    }
+    return {**state_plan(cfg, node_id), **platform_plan(cfg, node_id)}
 
 
 def _path_plan(cfg: NodeSettings, node_id: str) -> dict[str, Factory]:
@@ -121,8 +76,7 @@
             host=cfg.target.host,
             port=cfg.target.port,
         ),
-        'peers': lambda kernel: LocalOrRemote(kernel=kernel, node_id=node_id),
-        'attempts': lambda kernel: Attempts(kernel=kernel),
+        **dispatch_plan(node_id),
         'keys': lambda kernel: KeyedRunner(
             kernel=kernel,
             node_id=node_id,
@@ -131,8 +85,6 @@
         ),
         'own pool': lambda kernel: OwnPool(kernel=kernel),
         'inbound': lambda kernel: Inbound(kernel=kernel),
-        'dispatcher': lambda kernel: Dispatcher(kernel=kernel),
-        'load publisher': lambda kernel: LoadPublisher(kernel=kernel),
     }
 
 
@@ -162,17 +114,3 @@
     endpoints = ReportEndpoints(kernel=kernel)
     endpoints.install()
     return endpoints
-
-
-def _router(kernel: Kernel) -> Router:
-    membership = kernel.find('membership', FailureObserver)
-    router = Router(
-        kernel=kernel,
-        rng=random.Random(),
-        on_failure=membership.observe_failure,
-    )
-    # Loads in answers reach the router with the outcome; those in refusals
-    # only come this way.
-    transport = kernel.find('transport', PeerTransport)
-    transport.on_load(router.observe_load)
-    return router
--- /dev/null
+++ b/src/savorystand/node/plans.py
@@ -0,0 +1,82 @@
+"""Services that nodes have wherever they run."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from savorystand.admission.queue import AdmissionQueue
+from savorystand.clock import Clock
+from savorystand.dispatch.attempts import Attempts
+from savorystand.dispatch.dispatcher import Dispatcher
+from savorystand.dispatch.load_publisher import LoadPublisher
+from savorystand.dispatch.local import LocalOrRemote
+from savorystand.membership.directory import FailureObserver
+from savorystand.membership.membership import Membership
+from savorystand.retry.executions import ExecutionLedger
+from savorystand.retry.policy import RetryPolicy
+from savorystand.routing.router import Router
+from savorystand.tables.holder import TableHolder
+from savorystand.transport.inbound import ControlPeer
+from savorystand.transport.peers import PeerTransport
+from savorystand.trust.seal import DatagramSeal
+
+if TYPE_CHECKING:
+    from savorystand.kernel.kernel import Factory
+    from savorystand.kernel.kernel import Kernel
+    from savorystand.settings.node import NodeSettings
+
+
+def state_plan(cfg: NodeSettings, node_id: str) -> dict[str, Factory]:
+    """Return the factories of tables, transport and membership."""
+    return {
+        'tables': lambda kernel: TableHolder(),
+        'transport': lambda kernel: PeerTransport(
+            kernel=kernel,
+            host=cfg.peers.host,
+            port=cfg.peers.port,
+        ),
+        'datagram seal': lambda kernel: DatagramSeal(admin_key=cfg.admin_key),
+        'membership': lambda kernel: Membership(
+            kernel=kernel,
+            cfg=cfg,
+            node_id=node_id,
+        ),
+        'control': lambda kernel: kernel.find('membership', ControlPeer),
+    }
+
+
+def policy_plan() -> dict[str, Factory]:
+    """Return the factories of admission, retries and routing."""
+    return {
+        'executions': lambda kernel: ExecutionLedger(),
+        'admission': lambda kernel: AdmissionQueue(
+            clock=kernel.find('clock', Clock),
+        ),
+        'retry': lambda kernel: RetryPolicy(),
+        'routing': _router,
+    }
+
+
+def dispatch_plan(node_id: str) -> dict[str, Factory]:
+    """Return the factories that take a call to its target."""
+    return {
+        'peers': lambda kernel: LocalOrRemote(kernel=kernel, node_id=node_id),
+        'attempts': lambda kernel: Attempts(kernel=kernel),
+        'dispatcher': lambda kernel: Dispatcher(kernel=kernel),
+        'load publisher': lambda kernel: LoadPublisher(kernel=kernel),
+    }
+
+
+def _router(kernel: Kernel) -> Router:
+    membership = kernel.find('membership', FailureObserver)
+    router = Router(
+        kernel=kernel,
+        rng=random.Random(),
+        on_failure=membership.observe_failure,
+    )
+    # Loads in answers reach the router with the outcome; those in refusals
+    # only come this way.
+    transport = kernel.find('transport', PeerTransport)
+    transport.on_load(router.observe_load)
+    return router
--- /dev/null
+++ b/src/savorystand/node/sidecar.py
@@ -0,0 +1,139 @@
+"""Composes a node that runs beside a worker of the users' platform."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from savorystand.clock import Clock
+from savorystand.dispatch.announcements import Announcements
+from savorystand.dispatch.inbound import Inbound
+from savorystand.dispatch.own_pool import OwnPool
+from savorystand.gateway.server import HttpListener
+from savorystand.gateway.target_client import TargetClient
+from savorystand.kernel.kernel import Kernel
+from savorystand.membership.membership import Membership
+from savorystand.membership.rendezvous import Rendezvous
+from savorystand.node.leaving import Leaving
+from savorystand.node.plans import dispatch_plan
+from savorystand.node.plans import policy_plan
+from savorystand.node.plans import state_plan
+from savorystand.platform.configuration import StoredConfiguration
+from savorystand.platform.configuration import feed_timeout_ms
+from savorystand.platform.configuration import parse_configuration
+from savorystand.platform.connections import OPERATION_MS
+from savorystand.platform.connections import ServiceConnections
+from savorystand.platform.control import ControlRequests
+from savorystand.platform.ingress import Ingress
+from savorystand.platform.node_register import NodeRows
+from savorystand.platform.row_client import RowClient
+from savorystand.platform.worker_dialect import WorkerDialect
+from savorystand.reporting.setup import reporting_plan
+from savorystand.retry.budget import BudgetLimits
+from savorystand.retry.policy import RetryPolicy
+from savorystand.tables.follower import TableFollower
+from savorystand.transport.network import Network
+
+if TYPE_CHECKING:
+    from savorystand.kernel.kernel import Factory
+    from savorystand.platform.settings import Deployment
+
+# Part of the time for which a leaving target may get work after which its own
+# node refuses it: what is on its way by then still arrives in time.
+_LEAVE_SHARE = 0.5
+# Part of the shared retries that nodes plan with. A repeated call repeats the
+# calls that it makes, so that each level of a chain adds to the deepest pool.
+_RETRY_SHARE = 0.25
+# Nodes that may spend saved-up retries on one pool at the same time.
+_SPENDERS = 40
+# The platform's clients keep idle connections for as long as the operator's
+# limits allow; this node never closes one before them.
+_KEEP_ALIVE_SECONDS = 300
+
+
+def build_sidecar(cfg: Deployment, *, node_id: str) -> Kernel:
+    """Return the kernel of a node on the platform, ready to run."""
+    plan: dict[str, Factory] = {
+        'clock': lambda kernel: Clock(),
+        'network': lambda kernel: Network(),
+        **state_plan(cfg.node, node_id),
+        **reporting_plan(cfg.node, node_id),
+        **_store_plan(cfg),
+        **policy_plan(),
+        'retry': lambda kernel: RetryPolicy(limits=_budget_limits(cfg)),
+        'own pool': lambda kernel: OwnPool(
+            kernel=kernel, leave_ms=cfg.drain_ms * _LEAVE_SHARE
+        ),
+        'announcements': lambda kernel: Announcements(kernel=kernel),
+        'target': lambda kernel: TargetClient(
+            clock=kernel.find('clock', Clock),
+            host=cfg.node.target.host,
+            port=cfg.node.target.port,
+            dialect=WorkerDialect(kernel=kernel),
+        ),
+        'inbound': lambda kernel: Inbound(kernel=kernel, any_route=True),
+        **dispatch_plan(node_id),
+        **_listener_plan(cfg),
+    }
+    kernel = Kernel()
+    for name, factory in plan.items():
+        kernel.register(name, factory(kernel))
+    return kernel
+
+
+def _store_plan(cfg: Deployment) -> dict[str, Factory]:
+    rows = RowClient(connections=ServiceConnections(address=cfg.store, key=''))
+    feed = RowClient(
+        connections=ServiceConnections(
+            address=cfg.store,
+            key='',
+            timeout_ms=feed_timeout_ms(OPERATION_MS),
+        )
+    )
+    return {
+        'follower': lambda kernel: TableFollower(
+            kernel=kernel,
+            parse=parse_configuration,
+            source=None,
+            feed=StoredConfiguration(rows=rows, feed=feed),
+        ),
+        'rendezvous': lambda kernel: Rendezvous(
+            kernel=kernel,
+            register=NodeRows(rows=rows),
+            own=cfg.node.peers,
+            contact=kernel.find('membership', Membership).contact,
+            rng=random.Random(),
+        ),
+    }
+
+
+def _listener_plan(cfg: Deployment) -> dict[str, Factory]:
+    return {
+        'control listener': lambda kernel: HttpListener(
+            app=ControlRequests(
+                kernel=kernel, worker_address=cfg.node.target.text()
+            ),
+            host=cfg.ready.host,
+            port=cfg.ready.port,
+            more=(cfg.announcements,),
+            keep_alive_seconds=_KEEP_ALIVE_SECONDS,
+        ),
+        'caller listener': lambda kernel: HttpListener(
+            app=Ingress(kernel=kernel, service=cfg.service),
+            host=cfg.node.callers.host,
+            port=cfg.node.callers.port,
+            keep_alive_seconds=_KEEP_ALIVE_SECONDS,
+        ),
+        'readiness': lambda kernel: Leaving(
+            kernel=kernel, grace_ms=cfg.grace_ms
+        ),
+    }
+
+
+def _budget_limits(cfg: Deployment) -> BudgetLimits:
+    fraction = cfg.retry_fraction * _RETRY_SHARE
+    return BudgetLimits(
+        fraction=fraction,
+        hedge_fraction=fraction / 2,
+        saved=max(1, cfg.retry_slack / _SPENDERS),
+    )
--- a/src/savorystand/platform/connections.py
+++ b/src/savorystand/platform/connections.py
@@ -20,12 +20,18 @@
 
 # Time for one operation, connecting included.
 OPERATION_MS = 1500
+_KEEPALIVE_SECONDS = 1
 # Idle connections kept; operations at a time are bounded by their callers.
 _MAX_FREE = 8
 # Data unacknowledged for this long ends a connection (RFC 5482).
 _SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, OPERATION_MS),
+    # Ends a connection that went silent while an answer is awaited.
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
 )
 # Bounds what a faulty service can make a node hold.
 _MAX_BODY_BYTES = 16777216
@@ -78,7 +84,10 @@
         key: str,
         timeout_ms: float = OPERATION_MS,
     ) -> None:
-        """Reach the service at ``address`` with ``key`` as bearer token."""
+        """Reach the service at ``address``.
+
+        A ``key`` that is not empty is sent as bearer token.
+        """
         self._address = address
         self._key = key
         self._timeout_ms = timeout_ms
@@ -174,11 +183,12 @@
         request: ServiceRequest,
         progress: _Progress,
     ) -> httpcore.Request:
-        own = (
+        own = [
             ('host', self._address.text()),
-            ('authorization', f'Bearer {self._key}'),
             ('content-length', str(len(request.body))),
-        )
+        ]
+        if self._key:
+            own.append(('authorization', f'Bearer {self._key}'))
         return httpcore.Request(
             method=request.method,
             url=httpcore.URL(
--- a/src/savorystand/platform/errors.py
+++ b/src/savorystand/platform/errors.py
@@ -22,6 +22,10 @@
     """The answer was lost: a write may or may not have taken effect."""
 
 
+class HistoryLostError(StoreError):
+    """The store no longer has the changes that were asked for."""
+
+
 class ConditionFailedError(StoreError):
     """The condition of a write did not hold; nothing was written.
 
--- /dev/null
+++ b/src/savorystand/platform/ingress.py
@@ -0,0 +1,216 @@
+"""Requests of the platform's clients and workers."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import anyio
+from expression import Result
+
+from savorystand.call import Call
+from savorystand.call import CallContext
+from savorystand.clock import MS_PER_SECOND
+from savorystand.clock import Clock
+from savorystand.dispatch.dispatcher import Dispatcher
+from savorystand.gateway import headers as own_names
+from savorystand.gateway.asgi import BodyReader
+from savorystand.gateway.asgi import Receive
+from savorystand.gateway.asgi import Reply
+from savorystand.gateway.asgi import RequestAbortedError
+from savorystand.gateway.asgi import RequestTooLargeError
+from savorystand.gateway.asgi import Scope
+from savorystand.gateway.asgi import Send
+from savorystand.gateway.asgi import TooManyBodiesError
+from savorystand.gateway.asgi import request_headers
+from savorystand.gateway.asgi import request_path
+from savorystand.gateway.asgi import send_reply
+from savorystand.gateway.contexts import MAX_DEADLINE_MS
+from savorystand.gateway.contexts import deadline_ms
+from savorystand.gateway.protocol import on_disconnect
+from savorystand.gateway.refusals import refusal_body
+from savorystand.platform import headers as names
+from savorystand.retry.policy import RetryPolicy
+from savorystand.routing.splits import SplitChooser
+from savorystand.tables.holder import TableHolder
+from savorystand.verdict import MayHaveRun
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+from savorystand.verdict import Refusal
+
+if TYPE_CHECKING:
+    from savorystand.call import Headers
+    from savorystand.call import Outcome
+    from savorystand.kernel.kernel import Kernel
+    from savorystand.tables.route import Route
+
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_TIMED_OUT = 504
+_STATUS_NOT_RUN = {  # noqa: WPS407
+    Reason.NO_ROUTE: 404,
+    Reason.TOO_LARGE: 413,
+}
+_CLOSE = (('connection', 'close'),)
+# Set by this node, or stand for one connection only.
+_REPLACED = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        names.CALLER_SERVICE,
+        names.DEADLINE,
+        names.EXPECTED_INSTANCE,
+    )
+)
+
+
+class Ingress:
+    """Turns requests into calls and outcomes into responses."""
+
+    __slots__ = (
+        '_bodies',
+        '_clock',
+        '_closing',
+        '_kernel',
+        '_service',
+        '_splits',
+    )
+
+    def __init__(self, *, kernel: Kernel, service: str) -> None:
+        """Serve what begins on the machine of ``service``."""
+        self._kernel = kernel
+        self._clock = kernel.find('clock', Clock)
+        self._service = service
+        self._closing = False
+        self._bodies = BodyReader()
+        self._splits = SplitChooser()
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one request (ASGI version 3)."""
+        if scope['type'] != 'http':
+            return
+        received_ms = self._clock.now()
+        try:
+            path = request_path(scope)
+            headers = request_headers(scope)
+            body = await self._bodies.read(receive)
+        except RequestAbortedError:
+            return
+        except RequestTooLargeError as exc:
+            reply = _refusal(NotRun(reason=Reason.TOO_LARGE, detail=str(exc)))
+            await send_reply(send, _closing(reply))
+            return
+        except TooManyBodiesError:
+            reply = _refusal(NotRun(reason=Reason.OVERLOADED))
+            await send_reply(send, _closing(reply))
+            return
+        # A client that hangs up cancels the work done for it.
+        with anyio.CancelScope() as cancel_scope:
+            on_disconnect(scope, cancel_scope.cancel)
+            reply = await self._serve(
+                scope['method'], path, headers, body, received_ms
+            )
+            await send_reply(send, _closing(reply) if self._closing else reply)
+
+    def close_connections(self) -> None:
+        """Ask clients, from now on, to close after each answer."""
+        self._closing = True
+
+    async def _serve(
+        self,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+        received_ms: float,
+    ) -> Reply:
+        tables = self._kernel.find('tables', TableHolder).current()
+        if not tables.revision:
+            # Nothing can be said of a route before any is known.
+            detail = 'no configuration yet'
+            refusal = NotRun(reason=Reason.UNAVAILABLE, detail=detail)
+            return _refusal(refusal)
+        host = own_names.header(headers, 'host').partition(':')[0].lower()
+        route = tables.match_host(host, path)
+        request_id = own_names.header(headers, names.REQUEST_ID)
+        if route is None:
+            refusal = NotRun(reason=Reason.NO_ROUTE, detail=path)
+            return _refusal(refusal, request_id)
+        call = Call(
+            context=self._context(request_id, headers, route, received_ms),
+            route=self._splits.choose(route),
+            method=method,
+            path=path,
+            headers=(
+                *(pair for pair in headers if pair[0] not in _REPLACED),
+                (names.CALLER_SERVICE, self._service),
+            ),
+            body=body,
+        )
+        outcome = await self._kernel.find('dispatcher', Dispatcher).call(call)
+        return _reply(outcome, request_id)
+
+    def _context(
+        self,
+        request_id: str,
+        headers: Headers,
+        route: Route,
+        received_ms: float,
+    ) -> CallContext:
+        left_ms = deadline_ms(own_names.header(headers, names.DEADLINE))
+        limit_ms = route.limit_ms or MAX_DEADLINE_MS
+        return CallContext(
+            request_id=request_id,
+            execution_id='',
+            deadline_ms=received_ms + min(left_ms, limit_ms),
+            retries_left=self._kernel.find(
+                'retry', RetryPolicy
+            ).entry_retries(),
+            importance=route.importance,
+        )
+
+
+def _reply(outcome: Outcome, request_id: str) -> Reply:
+    match outcome:
+        case Result(tag='ok', ok=answer):
+            return Reply(
+                status=answer.status,
+                headers=own_names.forwarded(answer.headers),
+                body=answer.body,
+            )
+        case Result(error=refusal):
+            return _refusal(refusal, request_id)
+
+
+def _refusal(refusal: Refusal, request_id: str = '') -> Reply:
+    headers = [('content-type', 'application/json')]
+    if request_id:
+        headers.append((names.REQUEST_ID, request_id))
+    match refusal:
+        case NotRun():
+            status = _STATUS_NOT_RUN.get(refusal.reason, _UNAVAILABLE)
+        case MayHaveRun(reason=Reason.DEADLINE):
+            status = _TIMED_OUT
+        case MayHaveRun():
+            status = _BAD_GATEWAY
+    if status == _UNAVAILABLE:
+        seconds = refusal.retry_after_ms / MS_PER_SECOND
+        headers.append((names.RETRY_AFTER, f'{seconds:.3f}'))
+    return Reply(
+        status=status,
+        headers=tuple(headers),
+        body=refusal_body(refusal, request_id),
+    )
+
+
+def _closing(reply: Reply) -> Reply:
+    return replace(reply, headers=reply.headers + _CLOSE)
--- /dev/null
+++ b/src/savorystand/platform/worker_dialect.py
@@ -0,0 +1,65 @@
+"""The headers between a node and the platform's worker beside it."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+
+from savorystand.dispatch.own_pool import OwnPool
+from savorystand.gateway.headers import forwarded
+from savorystand.gateway.headers import header
+from savorystand.platform import headers as names
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+
+if TYPE_CHECKING:
+    from savorystand.call import Answer
+    from savorystand.call import Call
+    from savorystand.call import Headers
+    from savorystand.call import Outcome
+    from savorystand.gateway.http_connection import Belongs
+    from savorystand.kernel.kernel import Kernel
+
+# Another worker has the address.
+_MISDIRECTED = 421
+
+
+class WorkerDialect:
+    """Headers of calls to the worker; a ``TargetDialect``."""
+
+    __slots__ = ('_kernel',)
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        """Learn the worker's id from the ``own pool`` of ``kernel``."""
+        self._kernel = kernel
+
+    def request_headers(
+        self, call: Call, execution_id: str, left_ms: float
+    ) -> Headers:
+        """Return the headers of a call, without the length of its body."""
+        deadline = (names.DEADLINE, str(int(left_ms)))
+        instance = self._kernel.find('own pool', OwnPool).instance
+        if not instance:
+            return (*call.headers, deadline)
+        expected = (names.EXPECTED_INSTANCE, instance)
+        return (*call.headers, deadline, expected)
+
+    def belongs(self, call: Call) -> Belongs:
+        """Return a test for responses that do not name another request."""
+        known = frozenset(('', call.context.request_id))
+        return lambda headers: header(headers, names.REQUEST_ID) in known
+
+    def judge(self, answer: Answer) -> Outcome:
+        """Return what a whole response says of the call."""
+        if answer.status == _MISDIRECTED:
+            return Error(NotRun(reason=Reason.DRAINING, detail='status 421'))
+        if header(answer.headers, names.NOT_RUN):
+            detail = f'target refused with {answer.status}'
+            return Error(NotRun(reason=Reason.OVERLOADED, detail=detail))
+        headers = tuple(
+            pair for pair in forwarded(answer.headers) if pair[0] != names.LOAD
+        )
+        return Ok(replace(answer, headers=headers))
--- a/src/savorystand/reporting/events.py
+++ b/src/savorystand/reporting/events.py
@@ -52,5 +52,35 @@
     )
 
 
+def dependency_changed(dependency: str, state: str, detail: str) -> Event:
+    """Return the event of a dependency that was lost or regained."""
+    return Event(
+        name=EventName.DEPENDENCY_CHANGED,
+        level=Level.WARNING if state == 'lost' else Level.NOTICE,
+        detail=detail,
+        more=(('dependency', dependency), ('state', state)),
+    )
+
+
+def target_changed(
+    instance: str, pool: str, state: str, sequence: int
+) -> Event:
+    """Return the event of an announcement that changed the own target."""
+    return Event(
+        name=EventName.TARGET_CHANGED,
+        pool=pool,
+        more=(
+            ('instance', instance),
+            ('state', state),
+            ('sequence', str(sequence)),
+        ),
+    )
+
+
+def settings_reloaded(detail: str) -> Event:
+    """Return the event of a signal to read the settings again."""
+    return Event(name=EventName.SETTINGS_RELOADED, detail=detail)
+
+
 def _text(peer: PeerAddress) -> str:
     return f'{peer.host}:{peer.port}'
--- a/src/savorystand/retry/budget.py
+++ b/src/savorystand/retry/budget.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from typing import final
+
 # Retries and hedges together stay below this fraction of fresh calls.
 RETRY_FRACTION = 0.1
 # Hedges alone stay below this one.
@@ -13,20 +16,38 @@
 _MAX_HEDGES = 2.0
 
 
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class BudgetLimits:
+    """Retries, and hedges among them, as fractions of fresh calls.
+
+    ``saved`` is the most that a quiet time saves up.
+    """
+
+    fraction: float = RETRY_FRACTION
+    hedge_fraction: float = HEDGE_FRACTION
+    saved: float = _MAX_TOKENS
+
+
+DEFAULT_LIMITS = BudgetLimits()
+
+
 class RetryBudget:
     """Token bucket of one pool on one calling node."""
 
-    __slots__ = ('_hedges', '_tokens')
+    __slots__ = ('_hedges', '_limits', '_tokens')
 
-    def __init__(self) -> None:
+    def __init__(self, *, limits: BudgetLimits = DEFAULT_LIMITS) -> None:
         """Start full: a restarted node may retry at once, up to the cap."""
-        self._tokens = _MAX_TOKENS
+        self._limits = limits
+        self._tokens = limits.saved
         self._hedges = float(0)
 
     def record_fresh(self) -> None:
         """Count a call that is not a retry."""
-        self._tokens = min(_MAX_TOKENS, self._tokens + RETRY_FRACTION)
-        self._hedges = min(_MAX_HEDGES, self._hedges + HEDGE_FRACTION)
+        limits = self._limits
+        self._tokens = min(limits.saved, self._tokens + limits.fraction)
+        self._hedges = min(_MAX_HEDGES, self._hedges + limits.hedge_fraction)
 
     def spend(self) -> bool:
         """Take a token for a retry; return False if none is left."""
--- a/src/savorystand/retry/policy.py
+++ b/src/savorystand/retry/policy.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from savorystand.retry.budget import DEFAULT_LIMITS
+from savorystand.retry.budget import BudgetLimits
 from savorystand.retry.budget import RetryBudget
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
@@ -34,15 +36,20 @@
 class RetryPolicy:
     """Retries of one node, with one token budget for each pool."""
 
-    __slots__ = ('_budgets',)
+    __slots__ = ('_budgets', '_limits')
 
-    def __init__(self) -> None:
+    def __init__(self, *, limits: BudgetLimits = DEFAULT_LIMITS) -> None:
         """Start with full budgets."""
+        self._limits = limits
         self._budgets: dict[str, RetryBudget] = {}
 
     def budget(self, pool: str) -> RetryBudget:
         """Return the token budget of a pool."""
-        return self._budgets.setdefault(pool, RetryBudget())
+        budget = self._budgets.get(pool)
+        if budget is None:
+            budget = RetryBudget(limits=self._limits)
+            self._budgets[pool] = budget
+        return budget
 
     def entry_retries(self) -> int:
         """Return the retries granted to a request that enters here."""
--- a/src/savorystand/tables/follower.py
+++ b/src/savorystand/tables/follower.py
@@ -16,6 +16,7 @@
 from savorystand.kernel.service import Service
 from savorystand.membership.directory import Directory
 from savorystand.tables.document import TablesDocument
+from savorystand.tables.feed_reader import FeedReader
 from savorystand.tables.holder import TableHolder
 from savorystand.tables.parts import count_parts
 from savorystand.tables.parts import part_frame
@@ -30,6 +31,7 @@
 
     from savorystand.kernel.kernel import Kernel
     from savorystand.tables.document import TablesSource
+    from savorystand.tables.feed_reader import ConfigurationFeed
     from savorystand.tables.platform_reader import SnapshotReader
     from savorystand.transport.address import PeerAddress
     from savorystand.wire.codec import Message
@@ -66,6 +68,7 @@
     __slots__ = (
         '_arrived',
         '_document',
+        '_feed_reader',
         '_holder',
         '_kernel',
         '_membership',
@@ -84,13 +87,15 @@
         parse: Parser,
         source: TablesSource | None,
         snapshot: SnapshotReader | None = None,
+        feed: ConfigurationFeed | None = None,
         rng: random.Random | None = None,
     ) -> None:
         """Follow with the services of ``kernel``.
 
         ``parse`` raises ``ValueError`` for tables that are not valid.
         ``snapshot`` reads the newest snapshot in the object store; like
-        ``source`` it raises ``StoreError``.
+        ``source`` it raises ``StoreError``. With a ``feed`` the node follows
+        that in place of reading the others in its turn.
         """
         self._kernel = kernel
         self._holder = kernel.find('tables', TableHolder)
@@ -106,6 +111,9 @@
             snapshot=snapshot,
             rng=chance,
         )
+        self._feed_reader = feed and FeedReader(
+            kernel=kernel, feed=feed, tables=self, rng=chance
+        )
         self._document: TablesDocument | None = None
         # Newest revision that could not be parsed; it is not fetched again.
         self._rejected = 0
@@ -184,7 +192,7 @@
         transport.on_control(self._hear_part)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._follow_peers, transport)
-            tasks.start_soon(self.reader.run)
+            tasks.start_soon((self._feed_reader or self.reader).run)
             task_status.started()
 
     async def _follow_peers(self, transport: PeerTransport) -> None:
--- a/src/savorystand/tables/route.py
+++ b/src/savorystand/tables/route.py
@@ -10,13 +10,31 @@
     from savorystand.call import Importance
 
 
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PoolShare:
+    """A pool and its weight among those that divide a route's requests."""
+
+    pool: str
+    weight: float
+
+
 @final
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Route:
     """A kind of request.
 
     ``method`` and ``path`` come from the row's ``match`` field, for example
-    ``POST /refill/confirm``; the path matches by whole segments.
+    ``POST /refill/confirm``; the path matches by whole segments. With a
+    ``host`` the route is found by host and path alone, and its path begins
+    and ends with a slash.
+
+    ``splits`` divides the requests among several pools in place of ``pool``.
+    ``limit_ms`` bounds how long a caller is kept waiting and ``objective_ms``
+    is the latency objective; 0 stands for none. ``max_targets`` bounds the
+    targets to which one request is sent, 0 leaves it to the retry budget.
+    A route without ``needs_key`` binds a non-idempotent request by its own
+    id: it is sent on once and not repeated.
     """
 
     name: str
@@ -25,3 +43,9 @@
     pool: str
     importance: Importance
     idempotent: bool
+    host: str = ''
+    splits: tuple[PoolShare, ...] = ()
+    limit_ms: int = 0
+    objective_ms: int = 0
+    max_targets: int = 0
+    needs_key: bool = True
--- a/src/savorystand/tables/tables.py
+++ b/src/savorystand/tables/tables.py
@@ -26,13 +26,20 @@
     pools: tuple[Pool, ...]
     _by_match: dict[tuple[str, str], Route] = field(init=False, repr=False)
     _by_name: dict[str, Route] = field(init=False, repr=False)
+    _by_host: dict[str, dict[str, Route]] = field(init=False, repr=False)
     _pools: dict[str, Pool] = field(init=False, repr=False)
 
     def __post_init__(self) -> None:
         """Build the indexes."""
         self._by_match = {
-            (route.method, route.path): route for route in self.routes
+            (route.method, route.path): route
+            for route in self.routes
+            if not route.host
         }
+        self._by_host = {}
+        for hosted in self.routes:
+            paths = self._by_host.setdefault(hosted.host, {})
+            paths[hosted.path] = hosted
         self._by_name = {route.name: route for route in self.routes}
         self._pools = {pool.name: pool for pool in self.pools}
 
@@ -49,6 +56,24 @@
             prefix = prefix.rpartition('/')[0]
         return self._by_match.get((method, '/'))
 
+    def match_host(self, host: str, path: str) -> Route | None:
+        """Return the route of a host with the longest prefix of ``path``.
+
+        Prefixes end with a slash. ``path`` may carry a query, which is
+        ignored.
+        """
+        paths = self._by_host.get(host)
+        if paths is None:
+            return None
+        prefix = path.partition('?')[0]
+        while prefix:
+            prefix = prefix[: prefix.rfind('/') + 1]
+            route = paths.get(prefix)
+            if route is not None:
+                return route
+            prefix = prefix[:-1]
+        return None
+
     def route(self, name: str) -> Route | None:
         """Return the route of that name."""
         return self._by_name.get(name)
--- a/src/savorystand/transport/conversion.py
+++ b/src/savorystand/transport/conversion.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from savorystand.call import Answer
@@ -51,6 +52,7 @@
             to_home=call.to_home,
             attempt=call.attempt,
             body_size=len(call.body),
+            pool=call.route.pool,
         ),
     )
 
@@ -75,9 +77,10 @@
         FrameError: a field is out of its range.
     """
     check_call(start)
+    pool = start.pool or route.pool
     return Call(
         context=_context_from(start.context, now),
-        route=route,
+        route=route if pool == route.pool else replace(route, pool=pool),
         method=start.method,
         path=start.path,
         headers=_headers_from(start.headers),
--- a/src/savorystand/wire/gen/wire/ttypes.py
+++ b/src/savorystand/wire/gen/wire/ttypes.py
@@ -548,6 +548,7 @@
      - body_size
      - key
      - attempt
+     - pool
 
     """
 
@@ -564,10 +565,11 @@
         'body_size',
         'key',
         'attempt',
+        'pool',
     )
 
 
-    def __init__(self, stream=None, context=None, route=None, method=None, path=None, headers=None, body=None, last=None, to_home=None, body_size=None, key=None, attempt=None,):
+    def __init__(self, stream=None, context=None, route=None, method=None, path=None, headers=None, body=None, last=None, to_home=None, body_size=None, key=None, attempt=None, pool=None,):
         self.stream = stream
         self.context = context
         self.route = route
@@ -580,6 +582,7 @@
         self.body_size = body_size
         self.key = key
         self.attempt = attempt
+        self.pool = pool
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -657,6 +660,11 @@
                     self.attempt = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -718,6 +726,10 @@
             oprot.writeFieldBegin('attempt', TType.I32, 12)
             oprot.writeI32(self.attempt)
             oprot.writeFieldEnd()
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 13)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2858,6 +2870,7 @@
     (10, TType.I64, 'body_size', None, None, ),  # 10
     (11, TType.STRING, 'key', 'UTF8', None, ),  # 11
     (12, TType.I32, 'attempt', None, None, ),  # 12
+    (13, TType.STRING, 'pool', 'UTF8', None, ),  # 13
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -54,6 +54,8 @@
   11: optional string key,
   // Number of the caller's attempt at the request, from 1.
   12: optional i32 attempt,
+  // Pool that the caller expects the target to serve.
+  13: optional string pool,
 }
 
 struct BodyChunk {
