Keep tables and claims as rows of the users' store, and test the adapter

Cause: two clients and two protocols for the platform, of which the users' platform speaks neither. An item beyond a row is split into pieces of the same transaction; a repeated transaction finds its token in the rows. Ruled out: reading many items by a transaction whose condition must fail; it would be charged as a write.

--- a/src/savorystand/deduplication/claim_rows.py
+++ b/src/savorystand/deduplication/claim_rows.py
@@ -19,9 +19,9 @@
 # The store deletes rows some time after this age. It exceeds the age at which
 # callers still repeat a request.
 _KEPT_SECONDS = 604800
-# The table service refuses ids of more than 2,048 bytes, and one refused row
-# would fail the transaction of all others.
-_MAX_PLAIN_BYTES = 1024
+# The store refuses keys of more than 200 bytes, and one refused row would fail
+# the transaction of all others.
+_MAX_PLAIN_BYTES = 150
 
 
 def claim_id(key: str) -> str:
--- a/src/savorystand/platform/object_store.py
+++ b/src/savorystand/platform/object_store.py
@@ -1,4 +1,4 @@
-"""Client of the platform's object store: GET and PUT of S3's REST API."""
+"""Objects of the platform's store."""
 
 from __future__ import annotations
 
@@ -7,22 +7,19 @@
 
 from savorystand.platform.connections import ServiceConnections
 from savorystand.platform.connections import ServiceRequest
-from savorystand.platform.errors import StoreError
 from savorystand.platform.errors import StoreUnavailableError
 from savorystand.platform.errors import StoreUnknownError
+from savorystand.platform.row_client import check_status
 
 if TYPE_CHECKING:
     from savorystand.platform.connections import ServiceAnswer
 
-BUCKET_NAME = 'savorystand'
 _OK = 200
 _NOT_FOUND = 404
-_MIN_REFUSED = 400
-_MIN_FAILED = 500
 
 
 class ObjectStore:
-    """Objects by name in the bucket ``savorystand``; a ``Bucket``."""
+    """Objects by name; a ``Bucket``."""
 
     __slots__ = ('_connections',)
 
@@ -37,7 +34,7 @@
             StoreError: the platform gave no answer.
         """
         try:
-            answer = await self._send('GET', name, b'')
+            answer = await self._send('GET', f'/blob-get/{quote(name)}', b'')
         except StoreUnknownError as exc:
             # A read has no effect whether or not its answer was lost.
             raise StoreUnavailableError(str(exc)) from exc
@@ -54,19 +51,13 @@
             StoreUnknownError: the object may have been replaced.
             StoreError: nothing was written.
         """
-        answer = await self._send('PUT', name, body)
-        if answer.status == _OK:
-            return
-        problem = f'status {answer.status} for {name}'
-        if _MIN_REFUSED <= answer.status < _MIN_FAILED:
-            raise StoreError(problem)
-        raise StoreUnknownError(problem)
+        answer = await self._send('PUT', f'/blob-put/{quote(name)}', body)
+        check_status(answer)
 
     async def close(self) -> None:
         """Close idle connections."""
         await self._connections.close()
 
-    async def _send(self, method: str, name: str, body: bytes) -> ServiceAnswer:
-        path = f'/{BUCKET_NAME}/{quote(name)}'
+    async def _send(self, method: str, path: str, body: bytes) -> ServiceAnswer:
         request = ServiceRequest(method=method, path=path, body=body)
         return await self._connections.send(request)
--- a/src/savorystand/platform/row_client.py
+++ b/src/savorystand/platform/row_client.py
@@ -12,7 +12,6 @@
 
 from savorystand.platform.connections import ServiceConnections
 from savorystand.platform.connections import ServiceRequest
-from savorystand.platform.errors import ConditionFailedError
 from savorystand.platform.errors import HistoryLostError
 from savorystand.platform.errors import StoreError
 from savorystand.platform.errors import StoreUnavailableError
@@ -67,6 +66,18 @@
     has_more: bool
 
 
+class RowsChangedError(StoreError):
+    """Rows had other versions than expected; nothing was written.
+
+    ``current`` are the rows among those expected that exist, by key.
+    """
+
+    def __init__(self, *, current: tuple[Row, ...]) -> None:
+        """Describe the rows as they are."""
+        super().__init__(f'{len(current)} rows have other versions')
+        self.current = {row.row: row for row in current}
+
+
 class RowClient:
     """Reads and writes rows."""
 
@@ -129,8 +140,7 @@
         must not exist. All rows share one partition.
 
         Raises:
-            ConditionFailedError: a row has another version; lists the
-                indexes in ``expected``.
+            RowsChangedError: a row has another version.
             StoreUnknownError: the rows may have been written, or may be yet.
             StoreError: nothing was written.
         """
@@ -156,8 +166,8 @@
         )
         answer = await self._connections.send(request)
         if answer.status == _CONDITION_FAILED:
-            raise _condition_failed(answer, expected)
-        _check(answer)
+            raise RowsChangedError(current=_rows(answer).rows)
+        check_status(answer)
 
     async def close(self) -> None:
         """Close idle connections."""
@@ -169,7 +179,7 @@
         )
         try:
             answer = await self._connections.send(request)
-            _check(answer)
+            check_status(answer)
         except StoreUnknownError as exc:
             # A read has no effect whether or not its answer was lost.
             raise StoreUnavailableError(str(exc)) from exc
@@ -200,33 +210,21 @@
         document = json.loads(answer.body)
         return Rows(
             rows=tuple(_decode_row(fields) for fields in document['rows']),
-            version=int(document['ver']),
+            version=int(document.get('ver') or 0),
             has_more=bool(document.get('hasMore')),
         )
     except _MALFORMED as exc:
         raise StoreUnavailableError(f'malformed answer: {exc!r}') from exc
 
 
-def _condition_failed(
-    answer: ServiceAnswer,
-    expected: Sequence[tuple[RowKey, int]],
-) -> StoreError:
-    try:
-        current = {
-            (str(fields['table']), str(fields['key'])): int(fields['ver'])
-            for fields in json.loads(answer.body)['rows']
-        }
-    except _MALFORMED:
-        current = {}
-    failed = tuple(
-        index
-        for index, (row, version) in enumerate(expected)
-        if current.get((row.table, row.key), 0) != version
-    )
-    return ConditionFailedError(failed=failed)
+def check_status(answer: ServiceAnswer) -> None:
+    """Raise what the status of an answer to any call says.
 
-
-def _check(answer: ServiceAnswer) -> None:
+    Raises:
+        HistoryLostError: the changes that were asked for are gone.
+        StoreUnknownError: the call may have taken effect.
+        StoreError: it has not.
+    """
     status = answer.status
     if status == _OK:
         return
--- a/src/savorystand/platform/table_store.py
+++ b/src/savorystand/platform/table_store.py
@@ -1,41 +1,52 @@
-"""Client of the platform's table service."""
+"""Items with attributes, kept as rows of the platform's store."""
 
 from __future__ import annotations
 
 import json
 from typing import TYPE_CHECKING
-from typing import Any
 
-from savorystand.platform.connections import ServiceConnections
-from savorystand.platform.connections import ServiceRequest
+import anyio
+
+from savorystand.platform.errors import ConditionFailedError
 from savorystand.platform.errors import StoreError
 from savorystand.platform.errors import StoreUnavailableError
-from savorystand.platform.errors import StoreUnknownError
-from savorystand.platform.protocol import ID
-from savorystand.platform.protocol import TABLE_NAME
-from savorystand.platform.protocol import TARGET_PREFIX
-from savorystand.platform.protocol import decode_answer
-from savorystand.platform.protocol import decode_item
-from savorystand.platform.protocol import encode_put
+from savorystand.platform.row_client import Row
+from savorystand.platform.row_client import RowClient
+from savorystand.platform.row_client import RowKey
+from savorystand.platform.row_client import RowsChangedError
+from savorystand.platform.store import Absent
+from savorystand.platform.store import Unchanged
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from savorystand.platform.connections import ServiceConnections
     from savorystand.platform.store import Attributes
     from savorystand.platform.store import Put
 
-_CONTENT_TYPE = 'application/x-amz-json-1.0'
-_MALFORMED = (AttributeError, KeyError, TypeError, ValueError)
+TABLE_NAME = 'savorystand'
+# Rows that continue items which exceed one row.
+PIECES_NAME = 'savorystand-pieces'
+# Attribute of the transaction that wrote an item.
+_TOKEN = '#token'
+# A row holds at most 65,536 bytes.
+_PIECE_BYTES = 65000
+# Rows of one item that are read at a time.
+_READERS = 8
+_MALFORMED = (AttributeError, KeyError, RecursionError, TypeError, ValueError)
 
 
 class TableStore:
-    """Items by id in the table ``savorystand``; an ``ItemStore``."""
+    """Items by id in the table ``savorystand``; an ``ItemStore``.
+
+    A row holds the number of further pieces, a line break and JSON.
+    """
 
-    __slots__ = ('_connections',)
+    __slots__ = ('_rows',)
 
     def __init__(self, *, connections: ServiceConnections) -> None:
-        """Use the connections to the table service."""
-        self._connections = connections
+        """Use the connections to the store."""
+        self._rows = RowClient(connections=connections)
 
     async def get(self, item_id: str) -> Attributes | None:
         """Return an item's attributes as last written, None if absent.
@@ -43,34 +54,36 @@
         Raises:
             StoreError: the platform gave no answer.
         """
-        document = await self._read(
-            'GetItem',
-            {
-                'TableName': TABLE_NAME,
-                'Key': {ID: {'S': item_id}},
-                'ConsistentRead': True,
-            },
-        )
-        try:
-            typed = document.get('Item')
-            return None if typed is None else decode_item(typed)[1]
-        except _MALFORMED as exc:
-            raise _malformed(exc) from exc
+        row = await self._read(_key(item_id))
+        if row is None:
+            return None
+        attributes = dict(await self._attributes(row))
+        attributes.pop(_TOKEN, None)
+        return attributes
 
     async def get_many(
         self,
         item_ids: Sequence[str],
     ) -> dict[str, Attributes | None]:
-        """Return up to 100 items by id; those not read are left out.
+        """Return items by id, absent ones as None.
 
         Raises:
             StoreError: the platform gave no answer.
         """
-        document = await self._read('BatchGetItem', _batch(item_ids))
+        found: dict[str, Attributes | None] = {}
+        limiter = anyio.CapacityLimiter(_READERS)
+
+        async def read(item_id: str) -> None:  # noqa: WPS430
+            async with limiter:
+                found[item_id] = await self.get(item_id)
+
         try:
-            return _decode_batch(item_ids, document)
-        except _MALFORMED as exc:
-            raise _malformed(exc) from exc
+            async with anyio.create_task_group() as tasks:
+                for item_id in item_ids:
+                    tasks.start_soon(read, item_id)
+        except* StoreError as failures:
+            raise StoreUnavailableError(str(failures.exceptions[0])) from None
+        return found
 
     async def put(self, put: Put) -> None:
         """Write one item.
@@ -80,76 +93,119 @@
             StoreUnknownError: the item may have been written.
             StoreError: nothing was written.
         """
-        await self._call('PutItem', encode_put(put))
+        await self.transact((put,), '')
 
     async def transact(self, puts: Sequence[Put], token: str) -> None:
-        """Write up to 100 items of different ids, all or none.
+        """Write items of different ids, all or none.
+
+        The store takes 100 rows and 1 MB at a time. The token lies in each
+        row, so that a repetition finds what an earlier call has written.
 
         Raises:
             ConditionFailedError: a condition did not hold.
             StoreUnknownError: the items may have been written.
             StoreError: nothing was written.
         """
-        await self._call(
-            'TransactWriteItems',
-            {
-                'ClientRequestToken': token,
-                'TransactItems': [{'Put': encode_put(put)} for put in puts],
-            },
-        )
+        expected = await self._expected(puts)
+        writes = [write for put in puts for write in _encode(put, token)]
+        try:
+            await self._rows.write(writes, expected=expected)
+        except RowsChangedError as exc:
+            if token and _holds(exc, writes, expected):
+                return
+            failed = _failed(exc, expected)
+            raise ConditionFailedError(failed=failed) from exc
 
     async def close(self) -> None:
         """Close idle connections."""
-        await self._connections.close()
+        await self._rows.close()
 
-    async def _read(
-        self,
-        operation: str,
-        fields: dict[str, Any],
-    ) -> dict[str, Any]:
-        try:
-            return await self._call(operation, fields)
-        except StoreUnknownError as exc:
-            # A read has no effect whether or not its answer was lost.
-            raise StoreUnavailableError(str(exc)) from exc
+    async def _read(self, key: RowKey) -> Row | None:
+        found = await self._rows.read(key.table, start=key.key, limit=1)
+        return next((row for row in found.rows if row.row == key), None)
 
-    async def _call(
+    async def _attributes(self, row: Row) -> Attributes:
+        try:
+            count, _, text = (row.payload or b'').partition(b'\n')
+            for number in range(int(count)):
+                piece = await self._read(_piece_key(row.row.key, number))
+                text += b'' if piece is None else piece.payload or b''
+            return dict(json.loads(text))
+        except _MALFORMED as exc:
+            key = row.row.key
+            raise StoreUnavailableError(f'malformed {key}: {exc}') from exc
+
+    async def _version(self, put: Put) -> int | None:
+        """Return the version that an item must have, None if none will do."""
+        match put.condition:
+            case Absent():
+                return 0
+            case Unchanged(attribute=attribute, equals=equals):
+                row = await self._read(_key(put.id))
+                if row is None:
+                    return None
+                stored = await self._attributes(row)
+                held = stored.get(attribute) == equals
+                return row.version if held else None
+
+    async def _expected(
         self,
-        operation: str,
-        fields: dict[str, Any],
-    ) -> dict[str, Any]:
-        request = ServiceRequest(
-            method='POST',
-            path='/',
-            headers=(
-                ('content-type', _CONTENT_TYPE),
-                ('x-amz-target', f'{TARGET_PREFIX}.{operation}'),
-            ),
-            body=json.dumps(fields).encode(),
-        )
-        return decode_answer(await self._connections.send(request))
-
-
-def _batch(item_ids: Sequence[str]) -> dict[str, Any]:
-    keys = [{ID: {'S': item_id}} for item_id in item_ids]
-    wanted = {'Keys': keys, 'ConsistentRead': True}
-    return {'RequestItems': {TABLE_NAME: wanted}}
-
-
-def _decode_batch(
-    item_ids: Sequence[str],
-    document: dict[str, Any],
-) -> dict[str, Attributes | None]:
-    unread = document.get('UnprocessedKeys', {}).get(TABLE_NAME, {})
-    skipped = {key[ID]['S'] for key in unread.get('Keys', ())}
-    found: dict[str, Attributes | None] = {
-        item_id: None for item_id in item_ids if item_id not in skipped
-    }
-    for typed in document['Responses'].get(TABLE_NAME, ()):
-        item_id, attributes = decode_item(typed)
-        found[item_id] = attributes
-    return found
-
-
-def _malformed(exc: Exception) -> StoreError:
-    return StoreUnavailableError(f'malformed answer: {exc!r}')
+        puts: Sequence[Put],
+    ) -> list[tuple[RowKey, int]]:
+        expected = []
+        for index, put in enumerate(puts):
+            version = await self._version(put)
+            if version is None:
+                raise ConditionFailedError(failed=(index,))
+            expected.append((_key(put.id), version))
+        return expected
+
+
+def _key(item_id: str) -> RowKey:
+    return RowKey(table=TABLE_NAME, key=item_id)
+
+
+def _piece_key(item_id: str, number: int) -> RowKey:
+    return RowKey(table=PIECES_NAME, key=f'{item_id}#{number}')
+
+
+def _encode(put: Put, token: str) -> list[tuple[RowKey, bytes]]:
+    fields = {**put.attributes, _TOKEN: token}
+    text = json.dumps(fields, sort_keys=True).encode()
+    pieces = [
+        text[start : start + _PIECE_BYTES]
+        for start in range(0, len(text), _PIECE_BYTES)
+    ]
+    further = len(pieces) - 1
+    head = (_key(put.id), f'{further}\n'.encode() + pieces[0])
+    return [
+        head,
+        *(
+            (_piece_key(put.id, number), piece)
+            for number, piece in enumerate(pieces[1:])
+        ),
+    ]
+
+
+def _holds(
+    changed: RowsChangedError,
+    writes: list[tuple[RowKey, bytes]],
+    expected: list[tuple[RowKey, int]],
+) -> bool:
+    written = dict(writes)
+    found = [changed.current.get(key) for key, _ in expected]
+    return all(
+        row is not None and row.payload == written[row.row] for row in found
+    )
+
+
+def _failed(
+    changed: RowsChangedError,
+    expected: list[tuple[RowKey, int]],
+) -> tuple[int, ...]:
+    versions = {key: row.version for key, row in changed.current.items()}
+    return tuple(
+        index
+        for index, (key, version) in enumerate(expected)
+        if versions.get(key, 0) != version
+    )
--- /dev/null
+++ b/tests/dispatch/test_announcements.py
@@ -0,0 +1,97 @@
+"""Failures: a late word of a target brings back one that has left."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import pytest
+
+from savorystand.clock import ManualClock
+from savorystand.dispatch.announcements import Announcement
+from savorystand.dispatch.announcements import Announcements
+from savorystand.kernel.kernel import Kernel
+from savorystand.reporting.logs import EventLog
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_READY = Announcement(
+    instance='i-1',
+    born_ms=1000,
+    sequence=4,
+    pool='refill',
+    slots=109,
+    leaving=False,
+)
+
+
+class _Pool:
+    def __init__(self) -> None:
+        self.told: list[str] = []
+
+    def announce(self, pool: str, *, slots: int, instance: str) -> None:
+        self.told.append(f'{pool} {slots} {instance}')
+
+    def leave(self) -> None:
+        self.told.append('leave')
+
+
+@pytest.fixture
+def pool(monkeypatch: pytest.MonkeyPatch) -> _Pool:
+    """Return the own pool that the announcements reach."""
+    monkeypatch.setattr('savorystand.dispatch.announcements.OwnPool', _Pool)
+    return _Pool()
+
+
+@pytest.fixture
+def take(pool: _Pool) -> Callable[[Announcement], bool]:
+    """Return what takes an announcement."""
+    return _announcements(pool).take
+
+
+def _announcements(pool: _Pool) -> Announcements:
+    kernel = Kernel()
+    kernel.register('own pool', pool)
+    kernel.register('log', EventLog(clock=ManualClock(), node_id='node'))
+    return Announcements(kernel=kernel)
+
+
+def test_late_word_of_the_same_life(
+    pool: _Pool, take: Callable[[Announcement], bool]
+) -> None:
+    """A ready word that was overtaken by a leaving one must not undo it."""
+    assert take(_READY)
+    assert take(replace(_READY, sequence=6, leaving=True))
+    assert not take(replace(_READY, sequence=5))
+    assert not take(replace(_READY, sequence=6))
+    assert pool.told == ['refill 109 i-1', 'leave']
+
+
+def test_late_word_of_an_earlier_life(
+    pool: _Pool, take: Callable[[Announcement], bool]
+) -> None:
+    """A word delayed by a partition may arrive after the next life began."""
+    assert take(replace(_READY, instance='i-2', born_ms=2000, sequence=1))
+    assert not take(replace(_READY, sequence=90))
+    assert pool.told == ['refill 109 i-2']
+
+
+def test_next_life_under_the_same_id(
+    pool: _Pool, take: Callable[[Announcement], bool]
+) -> None:
+    """A target that starts again counts its words from the beginning."""
+    assert take(replace(_READY, sequence=90))
+    assert take(replace(_READY, born_ms=2000, sequence=1))
+    assert not take(replace(_READY, sequence=91))
+    assert pool.told == ['refill 109 i-1', 'refill 109 i-1']
+
+
+def test_departed_target_stays_away(pool: _Pool) -> None:
+    """A word that follows the departure must not bring the target back."""
+    announcements = _announcements(pool)
+    assert announcements.take(_READY)
+    announcements.depart('i-1')
+    assert not announcements.take(replace(_READY, sequence=5))
+    assert announcements.take(replace(_READY, born_ms=2000, sequence=1))
+    assert pool.told == ['refill 109 i-1', 'leave', 'refill 109 i-1']
--- /dev/null
+++ b/tests/platform/test_control.py
@@ -0,0 +1,128 @@
+"""Failures: words of other writers change what a node believes."""
+
+from __future__ import annotations
+
+import json
+from types import MappingProxyType
+from typing import Any
+
+import pytest
+
+from savorystand.clock import ManualClock
+from savorystand.dispatch.announcements import Announcement
+from savorystand.dispatch.announcements import Announcements
+from savorystand.kernel.kernel import Kernel
+from savorystand.platform.control import ControlRequests
+from savorystand.reporting.logs import EventLog
+
+pytestmark = pytest.mark.anyio
+_HEARTBEAT = MappingProxyType(
+    {
+        'service': 'refill',
+        'address': '10.0.0.1:80',
+        'zone': 'suva',
+        'version': 'v1',
+        'capacity': 109,
+        'state': 'ready',
+        'warmupLeftMs': 0,
+        'sequence': 4,
+        'born': 1700000000000,
+    }
+)
+
+
+class _Announcements(Announcements):
+    def __init__(self) -> None:
+        self.taken: list[Announcement] = []
+        self.departed: list[str] = []
+
+    def take(self, announcement: Announcement) -> bool:
+        self.taken.append(announcement)
+        return True
+
+    def depart(self, instance: str) -> None:
+        self.departed.append(instance)
+
+
+class _Readiness:
+    def __init__(self) -> None:
+        self.state = False
+
+    def ready(self) -> bool:
+        return self.state
+
+
+class _Node:
+    def __init__(self) -> None:
+        kernel = Kernel()
+        self.announcements = _Announcements()
+        self.readiness = _Readiness()
+        kernel.register('log', EventLog(clock=ManualClock(), node_id='node'))
+        kernel.register('announcements', self.announcements)
+        kernel.register('readiness', self.readiness)
+        self.app = ControlRequests(kernel=kernel, worker_address='10.0.0.1:80')
+
+    async def ask(self, method: str, path: str, body: bytes = b'') -> int:
+        sent: list[dict[str, Any]] = []
+
+        async def receive() -> dict[str, Any]:
+            return {'type': 'http.request', 'body': body}
+
+        async def send(message: dict[str, Any]) -> None:
+            sent.append(message)
+
+        scope = {'type': 'http', 'method': method, 'path': path}
+        await self.app(scope, receive, send)
+        return int(sent[0]['status'])
+
+
+async def test_heartbeat_is_decoded_once() -> None:
+    """The fields of the wire reach the product under their meanings."""
+    node = _Node()
+    body = json.dumps(dict(_HEARTBEAT)).encode()
+    assert await node.ask('POST', '/Instances.Heartbeat/i-1', body) == 200
+    assert node.announcements.taken == [
+        Announcement(
+            instance='i-1',
+            born_ms=1700000000000,
+            sequence=4,
+            pool='refill',
+            slots=109,
+            leaving=False,
+        )
+    ]
+    assert await node.ask('POST', '/Instances.Deregister/i-1') == 200
+    assert node.announcements.departed == ['i-1']
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'state': 'unheard'},
+        {'capacity': 'many'},
+        {'capacity': True},
+        {'capacity': 0},
+        {'sequence': None},
+        {'born': 1.5},
+        {'service': 7},
+        {'address': '10.0.0.2:80'},
+    ],
+)
+async def test_words_of_other_writers_are_refused(
+    change: dict[str, Any],
+) -> None:
+    """A field of another type or an unknown state names no target."""
+    node = _Node()
+    body = json.dumps({**_HEARTBEAT, **change}).encode()
+    assert await node.ask('POST', '/Instances.Heartbeat/i-1', body) == 400
+    for bytes_ in (b'', b'[]', body[:20], b'\xff'):
+        assert await node.ask('POST', '/Instances.Heartbeat/i-1', bytes_) == 400
+    assert not node.announcements.taken
+
+
+async def test_readiness() -> None:
+    """A node that leaves or knows no configuration gets no callers."""
+    node = _Node()
+    assert await node.ask('GET', '/readyz') == 503
+    node.readiness.state = True
+    assert await node.ask('GET', '/readyz') == 200
