--- a/src/savorystand/admission/queue.py
+++ b/src/savorystand/admission/queue.py
@@ -16,7 +16,7 @@
 from savorystand.admission.limit import ConcurrencyLimit
 from savorystand.admission.service_times import Estimate
 from savorystand.admission.service_times import ServiceTimes
-from savorystand.admission.shedding import AdmittedRank
+from savorystand.admission.signals import Signals
 from savorystand.admission.slots import Slots
 from savorystand.admission.slow_watch import SlowWatch
 from savorystand.admission.waiting import Waiter
@@ -57,7 +57,7 @@
         '_forecast',
         '_limit',
         '_order',
-        '_rank',
+        '_signals',
         '_usage',
         '_times',
         '_waiting',
@@ -69,7 +69,7 @@
         self._clock = clock
         self._limit = ConcurrencyLimit(clock=clock)
         self._times = ServiceTimes(clock=clock)
-        self._rank = AdmittedRank(clock=clock)
+        self._signals = Signals(clock=clock)
         self._usage = Slots(limit=self._limit)
         self._waiting = WaitingCalls()
         self._forecast = Forecast(
@@ -119,9 +119,10 @@
             in_flight=self._usage.in_use(),
             queued=self._waiting.count(is_long=False),
             limit=self._limit.current(),
-            admitted_rank=self._rank.current(),
+            admitted_rank=self._signals.admitted.current(),
             expected_ms=int(wait_ms + self._times.mean_ms(is_long=False)),
             slow=self._watch.is_slow(),
+            pressed_rank=self._signals.pressed.current(),
         )
 
     def in_progress(self) -> int:
@@ -139,12 +140,14 @@
             call,
             estimate,
             left_ms=call.context.deadline_ms - now,
-            admitted_rank=self._rank.current(),
+            admitted_rank=self._signals.admitted.current(),
         )
         if refusal is not None:
+            refused = refusal.reason is Reason.OVERLOADED
+            self._signals.record(call, refused=refused)
             return Error(refusal)
         if self._usage.has_free(is_long=estimate.is_long):
-            self._rank.record(call.context.importance, 0)
+            self._signals.record(call, refused=False)
             self._usage.take(is_long=estimate.is_long)
             return Ok(_permit(call, estimate, now, self._watch))
         waiter = Waiter(
@@ -155,6 +158,7 @@
         )
         overflow = self._make_room(waiter)
         if overflow is not None:
+            self._signals.record(call, refused=True)
             return Error(overflow)
         self._waiting.add(waiter)
         return await self._wait(waiter)
@@ -176,8 +180,12 @@
         self._watch.end(id(permit), whole=whole)
         self._usage.give_back(is_long=permit.estimate.is_long)
         time_class = permit.estimate.time_class
-        if refused:
+        if refused and in_flight * 2 >= self._limit.slots():
+            # One with most of its slots free is not full but faulty, and
+            # fewer calls would not make it refuse less.
             self._limit.record_refusal()
+        elif refused:
+            self._times.record_unfinished(time_class, elapsed_ms)
         elif whole:
             self._limit.record(
                 self._times.record(time_class, elapsed_ms),
@@ -244,13 +252,13 @@
                 self._drop(waiter, _too_late())
                 continue
             self._waiting.discard(waiter)
-            self._rank.record_wait(waiter, now)
+            self._signals.record_wait(waiter, refused=False)
             self._usage.take(is_long=waiter.estimate.is_long)
             waiter.admit()
 
     def _drop(self, waiter: Waiter, refusal: NotRun) -> None:
         self._waiting.discard(waiter)
-        self._rank.record_wait(waiter, self._clock.now())
+        self._signals.record_wait(waiter, refused=True)
         waiter.refuse(refusal)
 
 
--- a/src/savorystand/call.py
+++ b/src/savorystand/call.py
@@ -55,6 +55,8 @@
     ``attempt`` is the number that the caller gives to this attempt at its
     request, counted from 1, or 0. Only of a declared first attempt can a node
     that knows nothing of the key say that the request has not run.
+    ``parent_route`` is the route of the execution that makes the call, where
+    that is known to the node beside it; it does not travel.
     """
 
     context: CallContext
@@ -66,12 +68,40 @@
     key: str = ''
     to_home: bool = False
     attempt: int = 0
+    parent_route: str = ''
 
     @property
     def first(self) -> bool:
         """Return True if the caller declares its first attempt."""
         return self.attempt == 1
 
+    def lending(self, retries: int) -> Call:
+        """Return the call with another retry budget.
+
+        ``dataclasses.replace`` takes ten times as long, on each attempt.
+        """
+        context = self.context
+        if context.retries_left == retries:
+            return self
+        return Call(
+            context=CallContext(
+                request_id=context.request_id,
+                execution_id=context.execution_id,
+                deadline_ms=context.deadline_ms,
+                retries_left=retries,
+                importance=context.importance,
+            ),
+            route=self.route,
+            method=self.method,
+            path=self.path,
+            headers=self.headers,
+            body=self.body,
+            key=self.key,
+            to_home=self.to_home,
+            attempt=self.attempt,
+            parent_route=self.parent_route,
+        )
+
 
 @final
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -80,7 +110,8 @@
 
     ``admitted_rank`` is the lowest importance that is admitted at present,
     ``expected_ms`` the expected queueing plus service time of a new call, ``slow`` that the
-    target is much slower than usual.
+    target is much slower than usual. Calls below ``pressed_rank`` are being
+    refused or delayed, here or further down the route of the answered call.
     """
 
     in_flight: int = 0
@@ -89,6 +120,7 @@
     admitted_rank: int = 0
     expected_ms: int = 0
     slow: bool = False
+    pressed_rank: int = 0
 
 
 @final
@@ -102,5 +134,15 @@
     retries_left: int = 0
     load: TargetLoad = field(default_factory=TargetLoad)
 
+    def reporting(self, retries: int, load: TargetLoad) -> Answer:
+        """Return the answer with what is left of the retries and a load."""
+        return Answer(
+            status=self.status,
+            headers=self.headers,
+            body=self.body,
+            retries_left=retries,
+            load=load,
+        )
+
 
 Outcome: TypeAlias = Result[Answer, Refusal]
--- a/src/savorystand/dispatch/attempts.py
+++ b/src/savorystand/dispatch/attempts.py
@@ -110,6 +110,8 @@
     def _hedge_delay(self, call: Call, spending: Spending) -> float | None:
         if not call.route.idempotent or spending.retries <= 0:
             return None
+        if not self._kernel.find('retry', RetryPolicy).hedges:
+            return None
         router = self._kernel.find('routing', Router)
         delay_ms = router.hedge_delay_ms(call)
         if delay_ms is None:
@@ -149,15 +151,13 @@
         spending: Spending,
     ) -> Outcome:
         router = self._kernel.find('routing', Router)
-        caller = self._kernel.find('peers', PeerCaller)
-        context = replace(call.context, retries_left=attempt.lent)
         started = self._clock.now()
         outcome: Outcome | None = None
         router.begin(attempt.choice, call)
         try:
-            outcome = await caller.call(
+            outcome = await self._kernel.find('peers', PeerCaller).call(
                 attempt.choice.peer,
-                replace(call, context=context),
+                call.lending(attempt.lent),
             )
         finally:
             self._finish(call, attempt, outcome, started)
--- a/src/savorystand/dispatch/inbound.py
+++ b/src/savorystand/dispatch/inbound.py
@@ -19,6 +19,7 @@
 from savorystand.reporting.observer import find_observer
 from savorystand.retry.executions import Execution
 from savorystand.retry.executions import ExecutionLedger
+from savorystand.routing.downstream import Downstream
 from savorystand.tables.holder import TableHolder
 from savorystand.tables.route import Route
 from savorystand.verdict import NotRun
@@ -38,9 +39,11 @@
         '_admission',
         '_any_route',
         '_clock',
+        '_downstream',
         '_executions',
         '_kernel',
         '_observer',
+        '_own_pool',
     )
 
     def __init__(self, *, kernel: Kernel, any_route: bool = False) -> None:
@@ -51,6 +54,8 @@
         """
         self._kernel = kernel
         self._any_route = any_route
+        self._own_pool = kernel.find('own pool', OwnPool)
+        self._downstream = kernel.find('downstream', Downstream)
         self._admission = kernel.find('admission', AdmissionQueue)
         self._executions = kernel.find('executions', ExecutionLedger)
         self._clock = kernel.find('clock', Clock)
@@ -72,8 +77,7 @@
         if call.to_home:
             keys = self._kernel.find('keys', KeyedRunner)
             return await keys.serve_home(call)
-        own_pool = self._kernel.find('own pool', OwnPool)
-        if not own_pool.serves(call.route.pool):
+        if not self._own_pool.serves(call.route.pool):
             # The address was given to a target of another pool.
             pool = call.route.pool
             detail = f'not a target of {pool}'
@@ -95,7 +99,7 @@
                 return Error(replace(refusal, retries_left=left))
 
     async def _run(self, call: Call, permit: Permit) -> Outcome:
-        execution = self._executions.open(call.context)
+        execution = self._executions.open(call.context, call.route.name)
         whole = False
         refused = False
         try:
@@ -110,7 +114,7 @@
     async def _send(self, call: Call, execution: Execution) -> Outcome:
         target = self._kernel.find('target', TargetSender)
         outcome = await target.send(call, execution.execution_id)
-        own_pool = self._kernel.find('own pool', OwnPool)
+        own_pool = self._own_pool
         match outcome:
             case Result(tag='error', error=NotRun(reason=Reason.TARGET_FAILED)):
                 own_pool.record_unreachable()
@@ -118,12 +122,19 @@
                 own_pool.record_reached()
         return outcome
 
+    def _load_for(self, route: str) -> TargetLoad:
+        load = self._admission.load()
+        below = self._downstream.pressed_rank(route)
+        if below <= load.pressed_rank:
+            return load
+        return replace(load, pressed_rank=below)
+
     def _settle(self, outcome: Outcome, execution: Execution) -> Outcome:
         left = execution.retries_left
         match outcome:
             case Result(tag='ok', ok=answer):
-                load = self._admission.load()
-                return Ok(replace(answer, retries_left=left, load=load))
+                load = self._load_for(execution.route)
+                return Ok(answer.reporting(left, load))
             case Result(error=refusal):
                 below = refusal.from_below or execution.failed_below
                 settled = replace(
@@ -147,9 +158,9 @@
 
 
 def _is_refused(outcome: Outcome) -> bool:
-    # The target's own refusal, which says that it was given too much.
+    # The target's own refusal.
     match outcome:
-        case Result(tag='error', error=NotRun(reason=Reason.OVERLOADED)):
+        case Result(tag='error', error=NotRun(reason=Reason.TARGET_REFUSED)):
             return True
         case _:
             return False
--- /dev/null
+++ b/src/savorystand/dispatch/origins.py
@@ -0,0 +1,112 @@
+"""Tells calls that the own target makes from those of callers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import final
+
+from savorystand.retry.executions import ExecutionLedger
+
+if TYPE_CHECKING:
+    from savorystand.call import Importance
+    from savorystand.kernel.kernel import Kernel
+    from savorystand.tables.route import Route
+
+# A target passes on what is left of its own deadline, in whole milliseconds
+# and after some turns of its loop.
+_TOLERANCE_MS = 4
+# Of the requests of callers about 2 % meet the deadline of a running execution
+# by chance, of the calls of targets 40 % and more.
+_CALLED_SHARE = 0.2
+_LEAST_REQUESTS = 10
+# Requests after which the counts of a route are halved, so that they follow
+# a changed configuration.
+_MOST_REQUESTS = 400
+_MAX_ROUTES = 1000
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Origin:
+    """The execution that makes a call, as far as it can be told.
+
+    ``importance`` is that of the request which the execution serves.
+    """
+
+    route: str
+    importance: Importance
+
+
+@final
+@dataclass(slots=True, kw_only=True)
+class _Counts:
+    requests: int = 0
+    matched: int = 0
+
+
+class Origins:
+    """Infers the parent of a request from its deadline.
+
+    Targets of this deployment pass no context on, but what they call expires
+    with the execution that calls it. Requests with a shorter limit of their
+    own are told by their route and by what usually calls it.
+    """
+
+    __slots__ = ('_callers', '_counts', '_ledger')
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        """Find the running executions in ``kernel``."""
+        self._ledger = kernel.find('executions', ExecutionLedger)
+        self._counts: dict[str, _Counts] = {}
+        # By route called: the routes whose executions call it.
+        self._callers: dict[str, Counter[str]] = {}
+
+    def find(self, route: Route, deadline_ms: float) -> Origin | None:
+        """Return the origin of a request, None for one of a caller.
+
+        ``deadline_ms`` is the end that the request itself asks for, before
+        limits of the route.
+        """
+        counts = self._counts_of(route.name)
+        counts.requests += 1
+        parent = self._ledger.nearest(deadline_ms, _TOLERANCE_MS)
+        if parent is not None:
+            counts.matched += 1
+            callers = self._callers.setdefault(route.name, Counter())
+            callers[parent.route] += 1
+        if not self._is_called(counts):
+            return None
+        if parent is None:
+            return self._usual(route.name)
+        return Origin(route=parent.route, importance=parent.context.importance)
+
+    def _counts_of(self, name: str) -> _Counts:
+        counts = self._counts.get(name)
+        if counts is None:
+            if len(self._counts) >= _MAX_ROUTES:
+                self._counts.clear()
+                self._callers.clear()
+            counts = _Counts()
+            self._counts[name] = counts
+        if counts.requests >= _MOST_REQUESTS:
+            counts.requests //= 2
+            counts.matched //= 2
+        return counts
+
+    def _is_called(self, counts: _Counts) -> bool:
+        if counts.requests < _LEAST_REQUESTS:
+            return False
+        return counts.matched >= _CALLED_SHARE * counts.requests
+
+    def _usual(self, name: str) -> Origin | None:
+        caller = self._callers[name].most_common(1)[0][0]
+        running = Counter(
+            importance
+            for route, importance in self._ledger.routes()
+            if route == caller
+        )
+        if not running:
+            return None
+        return Origin(route=caller, importance=running.most_common(1)[0][0])
--- a/src/savorystand/dispatch/spending.py
+++ b/src/savorystand/dispatch/spending.py
@@ -91,7 +91,9 @@
         """
         match outcome:
             case Result(tag='ok', ok=answer):
-                return Ok(replace(answer, retries_left=self.retries))
+                if answer.retries_left == self.retries:
+                    return outcome
+                return Ok(answer.reporting(self.retries, answer.load))
             case Result(error=refusal):
                 final_refusal = self._may_have_run or self._not_run or refusal
                 return Error(replace(final_refusal, retries_left=self.retries))
--- a/src/savorystand/gateway/contexts.py
+++ b/src/savorystand/gateway/contexts.py
@@ -103,10 +103,10 @@
 
 
 def _deadline(headers: Headers) -> int:
-    return deadline_ms(names.header(headers, names.DEADLINE))
+    return deadline_of(names.header(headers, names.DEADLINE))
 
 
-def deadline_ms(text: str) -> int:
+def deadline_of(text: str) -> int:
     """Return the time that a caller waits, as its header says."""
     # Longer numbers exceed any deadline, and int() refuses very long ones.
     if not text.isdecimal() or len(text) > _MAX_DIGITS:
--- a/src/savorystand/gateway/dialect.py
+++ b/src/savorystand/gateway/dialect.py
@@ -73,7 +73,7 @@
         verdict = names.header(answer.headers, names.VERDICT)
         if verdict == _NOT_RUN:
             detail = f'target refused with {answer.status}'
-            return Error(NotRun(reason=Reason.OVERLOADED, detail=detail))
+            return Error(NotRun(reason=Reason.TARGET_REFUSED, detail=detail))
         if answer.status in _FAILED_STATUSES:
             detail = f'target answered {answer.status}'
             refusal = MayHaveRun(reason=Reason.TARGET_FAILED, detail=detail)
--- a/src/savorystand/gateway/server.py
+++ b/src/savorystand/gateway/server.py
@@ -34,6 +34,7 @@
 
 _POLL_SECONDS = 0.005
 _SWEEP_SECONDS = 1
+_TICK_SECONDS = 0.25
 # An open connection without a request is closed after this time.
 KEEP_ALIVE_SECONDS = 5
 
@@ -51,6 +52,12 @@
 
 
 class _Server(Server):
+    async def main_loop(self) -> None:
+        # The ticks of the library keep its date header up to date and count
+        # requests for limits, neither of which is used here.
+        while not self.should_exit:
+            await anyio.sleep(_TICK_SECONDS)
+
     @contextlib.contextmanager
     def capture_signals(self) -> Generator[None, None, None]:
         # Signals belong to the process, not to one of its listeners.
@@ -96,6 +103,7 @@
                 access_log=False,
                 server_header=False,
                 date_header=False,
+                proxy_headers=False,
                 timeout_keep_alive=keep_alive_seconds,
                 ssl_context_factory=_factory(tls),
             ),
--- a/src/savorystand/node/plans.py
+++ b/src/savorystand/node/plans.py
@@ -15,6 +15,7 @@
 from savorystand.membership.membership import Membership
 from savorystand.retry.executions import ExecutionLedger
 from savorystand.retry.policy import RetryPolicy
+from savorystand.routing.downstream import Downstream
 from savorystand.routing.router import Router
 from savorystand.tables.holder import TableHolder
 from savorystand.transport.inbound import ControlPeer
@@ -54,6 +55,9 @@
             clock=kernel.find('clock', Clock),
         ),
         'retry': lambda kernel: RetryPolicy(),
+        'downstream': lambda kernel: Downstream(
+            clock=kernel.find('clock', Clock),
+        ),
         'routing': _router,
     }
 
--- a/src/savorystand/node/sidecar.py
+++ b/src/savorystand/node/sidecar.py
@@ -8,6 +8,7 @@
 from savorystand.clock import Clock
 from savorystand.dispatch.announcements import Announcements
 from savorystand.dispatch.inbound import Inbound
+from savorystand.dispatch.origins import Origins
 from savorystand.dispatch.own_pool import OwnPool
 from savorystand.gateway.server import HttpListener
 from savorystand.gateway.target_client import TargetClient
@@ -28,7 +29,8 @@
 from savorystand.platform.node_register import NodeRows
 from savorystand.platform.row_client import RowClient
 from savorystand.platform.worker_dialect import WorkerDialect
-from savorystand.reporting.setup import reporting_plan
+from savorystand.reporting.call_log import CallLog
+from savorystand.reporting.logs import EventLog
 from savorystand.retry.budget import BudgetLimits
 from savorystand.retry.policy import RetryPolicy
 from savorystand.tables.follower import TableFollower
@@ -57,7 +59,11 @@
         'clock': lambda kernel: Clock(),
         'network': lambda kernel: Network(),
         **state_plan(cfg.node, node_id),
-        **reporting_plan(cfg.node, node_id),
+        'log': lambda kernel: EventLog(
+            clock=kernel.find('clock', Clock),
+            node_id=node_id,
+        ),
+        'observer': lambda kernel: CallLog(kernel=kernel),
         **_store_plan(cfg),
         **policy_plan(),
         'retry': lambda kernel: RetryPolicy(limits=_budget_limits(cfg)),
@@ -71,6 +77,7 @@
             port=cfg.node.target.port,
             dialect=WorkerDialect(kernel=kernel),
         ),
+        'origins': lambda kernel: Origins(kernel=kernel),
         'inbound': lambda kernel: Inbound(kernel=kernel, any_route=True),
         **dispatch_plan(node_id),
         **_listener_plan(cfg),
@@ -131,9 +138,10 @@
 
 
 def _budget_limits(cfg: Deployment) -> BudgetLimits:
-    fraction = cfg.retry_fraction * _RETRY_SHARE
     return BudgetLimits(
-        fraction=fraction,
-        hedge_fraction=fraction / 2,
+        fraction=cfg.retry_fraction * _RETRY_SHARE,
+        # The timers of hedges cost each call a tenth of its processor time,
+        # and each hedge repeats all calls below it.
+        hedge_fraction=0,
         saved=max(1, cfg.retry_slack / _SPENDERS),
     )
--- a/src/savorystand/platform/ingress.py
+++ b/src/savorystand/platform/ingress.py
@@ -13,6 +13,7 @@
 from savorystand.clock import MS_PER_SECOND
 from savorystand.clock import Clock
 from savorystand.dispatch.dispatcher import Dispatcher
+from savorystand.dispatch.origins import Origins
 from savorystand.gateway import headers as own_names
 from savorystand.gateway.asgi import BodyReader
 from savorystand.gateway.asgi import Receive
@@ -25,8 +26,8 @@
 from savorystand.gateway.asgi import request_headers
 from savorystand.gateway.asgi import request_path
 from savorystand.gateway.asgi import send_reply
-from savorystand.gateway.contexts import MAX_DEADLINE_MS
-from savorystand.gateway.contexts import deadline_ms
+from savorystand.gateway.contexts import Request
+from savorystand.gateway.contexts import deadline_of
 from savorystand.gateway.protocol import on_disconnect
 from savorystand.gateway.refusals import refusal_body
 from savorystand.platform import headers as names
@@ -39,11 +40,12 @@
 from savorystand.verdict import Refusal
 
 if TYPE_CHECKING:
-    from savorystand.call import Headers
     from savorystand.call import Outcome
     from savorystand.kernel.kernel import Kernel
     from savorystand.tables.route import Route
 
+# A target that refused or was not reached is seldom back within less.
+_LEAST_RETRY_AFTER_MS = 200
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _TIMED_OUT = 504
@@ -78,15 +80,21 @@
         '_bodies',
         '_clock',
         '_closing',
-        '_kernel',
+        '_dispatcher',
+        '_origins',
+        '_retry',
         '_service',
         '_splits',
+        '_tables',
     )
 
     def __init__(self, *, kernel: Kernel, service: str) -> None:
         """Serve what begins on the machine of ``service``."""
-        self._kernel = kernel
         self._clock = kernel.find('clock', Clock)
+        self._dispatcher = kernel.find('dispatcher', Dispatcher)
+        self._origins = kernel.find('origins', Origins)
+        self._retry = kernel.find('retry', RetryPolicy)
+        self._tables = kernel.find('tables', TableHolder)
         self._service = service
         self._closing = False
         self._bodies = BodyReader()
@@ -100,9 +108,13 @@
             return
         received_ms = self._clock.now()
         try:
-            path = request_path(scope)
-            headers = request_headers(scope)
-            body = await self._bodies.read(receive)
+            request = Request(
+                method=scope['method'],
+                path=request_path(scope),
+                headers=request_headers(scope),
+                body=await self._bodies.read(receive),
+                received_ms=received_ms,
+            )
         except RequestAbortedError:
             return
         except RequestTooLargeError as exc:
@@ -116,66 +128,49 @@
         # A client that hangs up cancels the work done for it.
         with anyio.CancelScope() as cancel_scope:
             on_disconnect(scope, cancel_scope.cancel)
-            reply = await self._serve(
-                scope['method'], path, headers, body, received_ms
-            )
+            reply = await self._serve(request)
             await send_reply(send, _closing(reply) if self._closing else reply)
 
     def close_connections(self) -> None:
         """Ask clients, from now on, to close after each answer."""
         self._closing = True
 
-    async def _serve(
-        self,
-        method: str,
-        path: str,
-        headers: Headers,
-        body: bytes,
-        received_ms: float,
-    ) -> Reply:
-        tables = self._kernel.find('tables', TableHolder).current()
+    async def _serve(self, request: Request) -> Reply:
+        tables = self._tables.current()
         if not tables.revision:
             # Nothing can be said of a route before any is known.
             detail = 'no configuration yet'
-            refusal = NotRun(reason=Reason.UNAVAILABLE, detail=detail)
-            return _refusal(refusal)
-        host = own_names.header(headers, 'host').partition(':')[0].lower()
-        route = tables.match_host(host, path)
-        request_id = own_names.header(headers, names.REQUEST_ID)
+            return _refusal(NotRun(reason=Reason.UNAVAILABLE, detail=detail))
+        host = own_names.header(request.headers, 'host').partition(':')[0]
+        route = tables.match_host(host.lower(), request.path)
+        request_id = own_names.header(request.headers, names.REQUEST_ID)
         if route is None:
-            refusal = NotRun(reason=Reason.NO_ROUTE, detail=path)
+            refusal = NotRun(reason=Reason.NO_ROUTE, detail=request.path)
             return _refusal(refusal, request_id)
-        call = Call(
-            context=self._context(request_id, headers, route, received_ms),
+        call = self._call(request, request_id, route)
+        return _reply(await self._dispatcher.call(call), request_id)
+
+    def _call(self, request: Request, request_id: str, route: Route) -> Call:
+        left_ms = deadline_of(own_names.header(request.headers, names.DEADLINE))
+        origin = self._origins.find(route, request.received_ms + left_ms)
+        limit_ms = min(left_ms, route.limit_ms or left_ms)
+        return Call(
+            context=CallContext(
+                request_id=request_id,
+                execution_id='',
+                deadline_ms=request.received_ms + limit_ms,
+                retries_left=self._retry.entry_retries(),
+                importance=origin.importance if origin else route.importance,
+            ),
+            parent_route=origin.route if origin else '',
             route=self._splits.choose(route),
-            method=method,
-            path=path,
+            method=request.method,
+            path=request.path,
             headers=(
-                *(pair for pair in headers if pair[0] not in _REPLACED),
+                *(pair for pair in request.headers if pair[0] not in _REPLACED),
                 (names.CALLER_SERVICE, self._service),
             ),
-            body=body,
-        )
-        outcome = await self._kernel.find('dispatcher', Dispatcher).call(call)
-        return _reply(outcome, request_id)
-
-    def _context(
-        self,
-        request_id: str,
-        headers: Headers,
-        route: Route,
-        received_ms: float,
-    ) -> CallContext:
-        left_ms = deadline_ms(own_names.header(headers, names.DEADLINE))
-        limit_ms = route.limit_ms or MAX_DEADLINE_MS
-        return CallContext(
-            request_id=request_id,
-            execution_id='',
-            deadline_ms=received_ms + min(left_ms, limit_ms),
-            retries_left=self._kernel.find(
-                'retry', RetryPolicy
-            ).entry_retries(),
-            importance=route.importance,
+            body=request.body,
         )
 
 
@@ -203,7 +198,8 @@
         case MayHaveRun():
             status = _BAD_GATEWAY
     if status == _UNAVAILABLE:
-        seconds = refusal.retry_after_ms / MS_PER_SECOND
+        wait_ms = max(refusal.retry_after_ms, _LEAST_RETRY_AFTER_MS)
+        seconds = wait_ms / MS_PER_SECOND
         headers.append((names.RETRY_AFTER, f'{seconds:.3f}'))
     return Reply(
         status=status,
--- a/src/savorystand/platform/worker_dialect.py
+++ b/src/savorystand/platform/worker_dialect.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from expression import Error
 from expression import Ok
 
+from savorystand.call import Answer
 from savorystand.dispatch.own_pool import OwnPool
 from savorystand.gateway.headers import forwarded
 from savorystand.gateway.headers import header
@@ -16,7 +16,6 @@
 from savorystand.verdict import Reason
 
 if TYPE_CHECKING:
-    from savorystand.call import Answer
     from savorystand.call import Call
     from savorystand.call import Headers
     from savorystand.call import Outcome
@@ -30,18 +29,18 @@
 class WorkerDialect:
     """Headers of calls to the worker; a ``TargetDialect``."""
 
-    __slots__ = ('_kernel',)
+    __slots__ = ('_own_pool',)
 
     def __init__(self, *, kernel: Kernel) -> None:
         """Learn the worker's id from the ``own pool`` of ``kernel``."""
-        self._kernel = kernel
+        self._own_pool = kernel.find('own pool', OwnPool)
 
     def request_headers(
         self, call: Call, execution_id: str, left_ms: float
     ) -> Headers:
         """Return the headers of a call, without the length of its body."""
         deadline = (names.DEADLINE, str(int(left_ms)))
-        instance = self._kernel.find('own pool', OwnPool).instance
+        instance = self._own_pool.instance
         if not instance:
             return (*call.headers, deadline)
         expected = (names.EXPECTED_INSTANCE, instance)
@@ -58,8 +57,10 @@
             return Error(NotRun(reason=Reason.DRAINING, detail='status 421'))
         if header(answer.headers, names.NOT_RUN):
             detail = f'target refused with {answer.status}'
-            return Error(NotRun(reason=Reason.OVERLOADED, detail=detail))
+            return Error(NotRun(reason=Reason.TARGET_REFUSED, detail=detail))
         headers = tuple(
             pair for pair in forwarded(answer.headers) if pair[0] != names.LOAD
         )
-        return Ok(replace(answer, headers=headers))
+        return Ok(
+            Answer(status=answer.status, headers=headers, body=answer.body)
+        )
--- /dev/null
+++ b/src/savorystand/reporting/call_log.py
@@ -0,0 +1,135 @@
+"""Writes a line for each call that was not simply answered."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from expression import Result
+
+from savorystand.reporting.events import tables_installed
+from savorystand.reporting.logs import Event
+from savorystand.reporting.logs import EventLog
+from savorystand.reporting.logs import EventName
+from savorystand.reporting.logs import Level
+from savorystand.tables.holder import TableHolder
+from savorystand.verdict import Refusal
+from savorystand.verdict import verdict_name
+
+if TYPE_CHECKING:
+    from savorystand.call import Call
+    from savorystand.call import Outcome
+    from savorystand.kernel.kernel import Kernel
+    from savorystand.reporting.observer import AttemptKind
+    from savorystand.routing.router import Choice
+    from savorystand.verdict import NotRun
+
+# Callers choose request ids, and targets some details, of up to 16 KB.
+_MAX_TEXT = 256
+_FAILED_STATUS = 500
+
+
+class CallLog:
+    """The observer of a node whose operators have logs alone.
+
+    An answered call costs it nothing but a look at its status.
+    """
+
+    __slots__ = ('_log',)
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        """Write to the ``log`` of ``kernel``."""
+        self._log = kernel.find('log', EventLog)
+        kernel.find('tables', TableHolder).watch(
+            lambda tables: self._log.write(tables_installed(tables)),
+        )
+
+    def on_call(
+        self,
+        call: Call,
+        outcome: Outcome | None,
+        elapsed_ms: float,
+    ) -> None:
+        """Log how a call failed; no outcome means that its caller left."""
+        match outcome:
+            case Result(tag='ok', ok=answer):
+                if answer.status >= _FAILED_STATUS:
+                    detail = f'status {answer.status}'
+                    self._write(
+                        EventName.CALL_FAILED, call, elapsed_ms, detail=detail
+                    )
+            case Result(error=refusal):
+                self._refused(EventName.CALL_REFUSED, call, refusal, elapsed_ms)
+
+    def on_attempt(
+        self,
+        call: Call,
+        choice: Choice,
+        outcome: Outcome | None,
+        elapsed_ms: float,
+        kind: AttemptKind,
+    ) -> None:
+        """Log an attempt that was refused, or that repeats another."""
+        if outcome is None or outcome.is_ok():
+            return
+        self._refused(
+            EventName.ATTEMPT_REFUSED,
+            call,
+            outcome.error,
+            elapsed_ms,
+            ('peer', choice.peer.node_id),
+            ('kind', kind.value),
+            ('choice', choice.reason),
+        )
+
+    def on_admission(
+        self,
+        call: Call,
+        refusal: NotRun | None,
+        waited_ms: float,
+    ) -> None:
+        """Log a call that found no slot at the own target."""
+        if refusal is not None:
+            self._refused(EventName.ADMISSION_REFUSED, call, refusal, waited_ms)
+
+    def _refused(
+        self,
+        name: EventName,
+        call: Call,
+        refusal: Refusal,
+        elapsed_ms: float,
+        *more: tuple[str, str],
+    ) -> None:
+        self._write(
+            name,
+            call,
+            elapsed_ms,
+            ('verdict', verdict_name(refusal)),
+            ('reason', refusal.reason.value),
+            *more,
+            detail=refusal.detail,
+        )
+
+    def _write(
+        self,
+        name: EventName,
+        call: Call,
+        elapsed_ms: float,
+        *more: tuple[str, str],
+        detail: str,
+    ) -> None:
+        self._log.write(
+            Event(
+                name=name,
+                level=Level.WARNING,
+                request_id=call.context.request_id[:_MAX_TEXT],
+                pool=call.route.pool,
+                route=call.route.name,
+                detail=detail[:_MAX_TEXT],
+                more=(
+                    *more,
+                    ('importance', call.context.importance.name.lower()),
+                    ('parent_route', call.parent_route),
+                    ('elapsed_ms', f'{elapsed_ms:.1f}'),
+                ),
+            )
+        )
--- a/src/savorystand/reporting/columns.py
+++ b/src/savorystand/reporting/columns.py
@@ -69,6 +69,7 @@
 
 _NOT_RUN = {  # noqa: WPS407 (a constant table, never changed)
     Reason.OVERLOADED: Column.NOT_RUN_SHED,
+    Reason.TARGET_REFUSED: Column.NOT_RUN_SHED,
     Reason.DRAINING: Column.NOT_RUN_SHED,
     Reason.DEADLINE: Column.NOT_RUN_DEADLINE,
     Reason.TARGET_FAILED: Column.NOT_RUN_TARGET_FAILURE,
--- a/src/savorystand/reporting/logs.py
+++ b/src/savorystand/reporting/logs.py
@@ -34,6 +34,9 @@
     """All events; a fixed set, so that the rate limits stay bounded."""
 
     CALL_REFUSED = 'call-refused'
+    CALL_FAILED = 'call-failed'
+    ATTEMPT_REFUSED = 'attempt-refused'
+    ADMISSION_REFUSED = 'admission-refused'
     PEER_UNREACHABLE = 'peer-unreachable'
     CONNECTION_LOST = 'connection-lost'
     MEMBER_CHANGED = 'member-changed'
--- a/src/savorystand/retry/executions.py
+++ b/src/savorystand/retry/executions.py
@@ -8,7 +8,10 @@
 from typing import final
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from savorystand.call import CallContext
+    from savorystand.call import Importance
 
 _ID_BYTES = 8
 
@@ -25,6 +28,7 @@
     execution_id: str
     context: CallContext
     retries_left: int
+    route: str = ''
     failed_below: bool = False
 
 
@@ -41,11 +45,12 @@
         """Return the number of running executions."""
         return len(self._running)
 
-    def open(self, context: CallContext) -> Execution:
-        """Record an execution that is about to start."""
+    def open(self, context: CallContext, route: str = '') -> Execution:
+        """Record an execution of a route that is about to start."""
         execution = Execution(
             execution_id=secrets.token_hex(_ID_BYTES),
             context=context,
+            route=route,
             retries_left=context.retries_left,
         )
         self._running[execution.execution_id] = execution
@@ -59,6 +64,26 @@
         """Return the running execution of that id."""
         return self._running.get(execution_id)
 
+    def nearest(
+        self, deadline_ms: float, tolerance_ms: float
+    ) -> Execution | None:
+        """Return the running execution whose deadline lies nearest.
+
+        None if all lie further than ``tolerance_ms`` from ``deadline_ms``.
+        """
+        best: Execution | None = None
+        for execution in self._running.values():
+            gap_ms = abs(execution.context.deadline_ms - deadline_ms)
+            if gap_ms < tolerance_ms:
+                best = execution
+                tolerance_ms = gap_ms
+        return best
+
+    def routes(self) -> Iterator[tuple[str, Importance]]:
+        """Yield route and importance of each running execution."""
+        for execution in self._running.values():
+            yield execution.route, execution.context.importance
+
     def lend(self, execution_id: str) -> int:
         """Take the whole remaining budget for one call of the execution.
 
--- a/src/savorystand/retry/policy.py
+++ b/src/savorystand/retry/policy.py
@@ -51,6 +51,11 @@
             self._budgets[pool] = budget
         return budget
 
+    @property
+    def hedges(self) -> bool:
+        """Return True if hedges are made at all."""
+        return self._limits.hedge_fraction > 0
+
     def entry_retries(self) -> int:
         """Return the retries granted to a request that enters here."""
         return ENTRY_RETRIES
--- /dev/null
+++ b/src/savorystand/routing/downstream.py
@@ -0,0 +1,41 @@
+"""Pressure at the pools that the routes of the own target depend on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorystand.routing.pressure_trend import PressureTrend
+
+if TYPE_CHECKING:
+    from savorystand.clock import Clock
+
+# Routes of replaced configurations are dropped beyond this number.
+_MAX_ROUTES = 1000
+
+
+class Downstream:
+    """What the answers to the calls of each route have reported."""
+
+    __slots__ = ('_clock', '_routes')
+
+    def __init__(self, *, clock: Clock) -> None:
+        """Start without dependencies."""
+        self._clock = clock
+        self._routes: dict[str, dict[str, PressureTrend]] = {}
+
+    def record(self, caller: str, called: str, pressed_rank: int) -> None:
+        """Record the answer to a call that ``caller`` made to ``called``."""
+        if caller not in self._routes and len(self._routes) >= _MAX_ROUTES:
+            self._routes.clear()
+        trends = self._routes.setdefault(caller, {})
+        trend = trends.get(called)
+        if trend is None:
+            trend = PressureTrend()
+            trends[called] = trend
+        trend.record(pressed_rank, self._clock.now())
+
+    def pressed_rank(self, route: str) -> int:
+        """Return the rank below which executions of a route suffer."""
+        now = self._clock.now()
+        trends = self._routes.get(route, {})
+        return max((one.rank(now) for one in trends.values()), default=0)
--- a/src/savorystand/routing/pool_view.py
+++ b/src/savorystand/routing/pool_view.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from savorystand.call import Importance
+    from savorystand.call import Outcome
     from savorystand.call import TargetLoad
     from savorystand.membership.member import Member
     from savorystand.transport.address import PeerAddress
@@ -46,11 +47,14 @@
         'distances',
         'picks',
         'routes',
+        'source',
     )
 
     def __init__(self) -> None:
         """Start without targets."""
         self._members: list[Member] = []
+        # The list that was last taken; the directory replaces it on change.
+        self.source: list[Member] | None = None
         self._targets: dict[str, Target] = {}
         self._shed_ms = -math.inf
         self._pass_shares: dict[Importance, float] = {}
@@ -65,6 +69,7 @@
         The targets of the first list are taken as established: with all of
         them new, none has to be spared.
         """
+        self.source = members
         if members == self._members:
             return
         arrived_ms = now if self._members else -math.inf
@@ -123,6 +128,13 @@
         """Return the part of the calls to send although all targets shed."""
         return self._pass_shares.get(importance, _LEAST_PASS_SHARE)
 
+    def record_outcome(
+        self, importance: Importance, outcome: Outcome | None, now: float
+    ) -> None:
+        """Adapt the part to an attempt that was made while targets shed."""
+        if outcome is not None and self.any_sheds(now):
+            self.record_passed(importance, served=outcome.is_ok())
+
     def record_passed(self, importance: Importance, *, served: bool) -> None:
         """Adapt the part to whether such a call was served or shed.
 
--- a/src/savorystand/routing/route_times.py
+++ b/src/savorystand/routing/route_times.py
@@ -4,8 +4,11 @@
 
 import math
 from dataclasses import dataclass
+from dataclasses import field
 from typing import final
 
+from savorystand.routing.throttle import Throttle
+
 _SAMPLE_WEIGHT = 0.05
 # Step of the percentile in the logarithm of latency: a factor of 1.1 upwards.
 _STEP = 0.1
@@ -26,6 +29,7 @@
 
     mean_ms: float = 0
     samples: int = 0
+    throttle: Throttle = field(default_factory=Throttle)
     _log_p95: float = 0
 
     def record(self, elapsed_ms: float) -> None:
--- a/src/savorystand/routing/router.py
+++ b/src/savorystand/routing/router.py
@@ -8,8 +8,10 @@
 
 from expression import Result
 
+from savorystand.call import Importance
 from savorystand.clock import Clock
 from savorystand.membership.directory import Directory
+from savorystand.routing.downstream import Downstream
 from savorystand.routing.draw import Draw
 from savorystand.routing.pool_view import PoolView
 from savorystand.routing.pool_view import distance
@@ -24,12 +26,15 @@
     from savorystand.call import Outcome
     from savorystand.call import TargetLoad
     from savorystand.kernel.kernel import Kernel
+    from savorystand.routing.target_stats import TargetStats
     from savorystand.transport.address import PeerAddress
 
 # One in so many calls goes to a slow or failing target to see whether it has
 # recovered: half a percent leaves the 99th percentile alone.
 _PROBE_PICKS = 200
 _SHED_RETRY_AFTER_MS = 500
+# The throttle takes up to four seconds to let all requests in again.
+_THROTTLED_MS = 2000
 _FAR = 2
 # The target was not reached, or takes no new work.
 _AVOIDED = frozenset((Reason.CONNECTION_LOST, Reason.DRAINING))
@@ -62,6 +67,7 @@
     __slots__ = (
         '_clock',
         '_cross_region_bytes',
+        '_directory',
         '_kernel',
         '_on_failure',
         '_pools',
@@ -81,6 +87,7 @@
         """
         self._kernel = kernel
         self._clock = kernel.find('clock', Clock)
+        self._directory = kernel.find('membership', Directory)
         self._random = rng
         self._on_failure = on_failure
         self._pools: dict[str, PoolView] = {}
@@ -113,7 +120,18 @@
         With ``probe``, a small share is let through, as reports are late.
         """
         view = self._view(call)
+        if call.parent_route:
+            # Work was done for it already, and the target's queue knows best.
+            return None
         importance = call.context.importance
+        throttle = view.route(call.route.name).throttle
+        share = throttle.share(self._clock.now())
+        if probe and share < 1 and self._random.random() >= share:
+            return NotRun(
+                reason=Reason.OVERLOADED,
+                detail=f'{share:.2f} of the route is let in',
+                retry_after_ms=int(_THROTTLED_MS * (1 - share)),
+            )
         if not view.all_shed(importance, self._clock.now()):
             return None
         if probe and self._random.random() < view.pass_share(importance):
@@ -173,14 +191,27 @@
         stats.in_flight = max(0, stats.in_flight - 1)
         times = view.route(call.route.name)
         now = self._clock.now()
+        view.record_outcome(call.context.importance, outcome, now)
         if outcome is None or outcome.is_error():
             times.record_unfinished(elapsed_ms)
             stats.record_unfinished(times.ratio(elapsed_ms), now)
-        if view.any_sheds(now) and outcome is not None:
-            importance = call.context.importance
-            view.record_passed(importance, served=outcome.is_ok())
+        if outcome is not None:
+            self._judge(choice, call, outcome, stats, elapsed_ms)
+
+    def _judge(
+        self,
+        choice: Choice,
+        call: Call,
+        outcome: Outcome,
+        stats: TargetStats,
+        elapsed_ms: float,
+    ) -> None:
+        view = self._view(call)
+        times = view.route(call.route.name)
+        now = self._clock.now()
         match outcome:
             case Result(tag='ok', ok=answer):
+                self._throttle(call, answer.load.pressed_rank)
                 times.record(elapsed_ms)
                 stats.record_latency(times.ratio(elapsed_ms), now)
                 stats.record_result(failed=False, now=now)
@@ -192,20 +223,32 @@
                 stats.avoid(now)
                 stats.record_result(failed=True, now=now)
                 self._report(choice.peer, refusal.reason)
+            case Result(error=NotRun(reason=Reason.OVERLOADED)):
+                self._throttle(call, len(Importance))
+                stats.record_result(failed=True, now=now)
             case Result(error=refusal) if not refusal.from_below:
                 if refusal.reason not in _NEUTRAL:
                     stats.record_result(failed=True, now=now)
 
+    def _throttle(self, call: Call, pressed_rank: int) -> None:
+        # Calls of the own target tell upstream; requests are throttled here.
+        if call.parent_route:
+            downstream = self._kernel.find('downstream', Downstream)
+            downstream.record(call.parent_route, call.route.name, pressed_rank)
+            return
+        throttle = self._view(call).route(call.route.name).throttle
+        pressed = pressed_rank > call.context.importance
+        throttle.record(pressed=pressed, now=self._clock.now())
+
     def _view(self, call: Call) -> PoolView:
         pool = call.route.pool
         view = self._pools.get(pool)
         if view is None:
             view = PoolView()
             self._pools[pool] = view
-        directory = self._kernel.find('membership', Directory)
-        view.update(
-            directory.serving(pool), directory.myself(), self._clock.now()
-        )
+        serving = self._directory.serving(pool)
+        if serving is not view.source:
+            view.update(serving, self._directory.myself(), self._clock.now())
         return view
 
     def _report(self, peer: PeerAddress, reason: Reason) -> None:
@@ -213,7 +256,6 @@
             self._on_failure(peer)
 
     def _count_bytes(self, peer: PeerAddress, size: int) -> None:
-        directory = self._kernel.find('membership', Directory)
-        member = directory.lookup(peer.node_id)
-        if member and distance(member, directory.myself()) == _FAR:
+        member = self._directory.lookup(peer.node_id)
+        if member and distance(member, self._directory.myself()) == _FAR:
             self._cross_region_bytes += size
--- /dev/null
+++ b/src/savorystand/routing/throttle.py
@@ -0,0 +1,61 @@
+"""Part of a route's requests that is let into the system."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import final
+
+# The share moves once in a step, which is about the time from a decision to
+# the reports that it changes.
+_STEP_MS = 200
+_CUT = 0.85
+_RAISE = 0.05
+_LEAST_SHARE = 0.02
+# Part of a step's answers that have to be pressed.
+_PRESSED_PART = 0.3
+# Steps after which a share that was cut has risen by time alone.
+_QUIET_STEPS = 3
+# One pressed answer alone may be chance.
+_LEAST_ANSWERS = 4
+
+
+@final
+@dataclass(slots=True, kw_only=True)
+class Throttle:
+    """Additive increase and multiplicative decrease of the share let in."""
+
+    _share: float = 1
+    _stepped_ms: float = -math.inf
+    _answers: int = 0
+    _pressed: int = 0
+
+    def share(self, now: float) -> float:
+        """Return the part of the requests to let in.
+
+        It rises with time alone: too few are let in at the least share for
+        their answers to raise it.
+        """
+        if self._share < 1:
+            steps = int((now - self._stepped_ms) // _STEP_MS)
+            return min(1, self._share + steps * _RAISE)
+        return self._share
+
+    def record(self, *, pressed: bool, now: float) -> None:
+        """Take an answer: whether calls like this one suffer below."""
+        self._answers += 1
+        self._pressed += pressed
+        if now - self._stepped_ms < _STEP_MS:
+            return
+        if self._pressed and self._answers < _LEAST_ANSWERS:
+            return
+        if self._pressed > _PRESSED_PART * self._answers:
+            # Between two steps under pressure the share does not rise.
+            quiet = now - self._stepped_ms >= _QUIET_STEPS * _STEP_MS
+            share = self.share(now) if quiet else self._share
+            self._share = max(_LEAST_SHARE, share * _CUT)
+        else:
+            self._share = self.share(now)
+        self._stepped_ms = now
+        self._answers = 0
+        self._pressed = 0
--- a/src/savorystand/transport/connection.py
+++ b/src/savorystand/transport/connection.py
@@ -158,10 +158,15 @@
         now = self._clock.now()
         wait_ms = call.context.deadline_ms - now + _VERDICT_GRACE_MS
         self._writer.send(call_frame(call, stream, now))
-        with anyio.move_on_after(max(0, wait_ms) / MS_PER_SECOND):
+        # A timer costs less than a cancel scope.
+        timer = self._clock.call_later(max(0, wait_ms), pending.done.set)
+        try:
             for frame in chunk_frames(call.body, stream):
-                await self._writer.send_chunk(frame)
+                if not pending.done.is_set():
+                    await self._writer.send_chunk(frame)
             await pending.done.wait()
+        finally:
+            timer.cancel()
         if pending.outcome is None:
             return Error(MayHaveRun(reason=Reason.DEADLINE))
         return pending.outcome
--- a/src/savorystand/transport/loads.py
+++ b/src/savorystand/transport/loads.py
@@ -37,6 +37,7 @@
         admitted_rank=load.admitted_rank,
         expected_ms=load.expected_ms,
         slow=load.slow,
+        pressed_rank=load.pressed_rank,
     )
 
 
@@ -49,4 +50,5 @@
         admitted_rank=load.admitted_rank,
         expected_ms=load.expected_ms,
         slow=bool(load.slow),
+        pressed_rank=load.pressed_rank or 0,
     )
--- a/src/savorystand/verdict.py
+++ b/src/savorystand/verdict.py
@@ -27,6 +27,7 @@
     FORGOTTEN = 'forgotten'
     STORE_UNAVAILABLE = 'store-unavailable'
     TARGET_FAILED = 'target-failed'
+    TARGET_REFUSED = 'target-refused'
     TOO_LARGE = 'too-large'
 
 
--- a/src/savorystand/wire/gen/wire/ttypes.py
+++ b/src/savorystand/wire/gen/wire/ttypes.py
@@ -109,6 +109,7 @@
      - admitted_rank
      - expected_ms
      - slow
+     - pressed_rank
 
     """
 
@@ -119,16 +120,18 @@
         'admitted_rank',
         'expected_ms',
         'slow',
+        'pressed_rank',
     )
 
 
-    def __init__(self, in_flight=None, queued=None, limit=None, admitted_rank=None, expected_ms=None, slow=None,):
+    def __init__(self, in_flight=None, queued=None, limit=None, admitted_rank=None, expected_ms=None, slow=None, pressed_rank=None,):
         self.in_flight = in_flight
         self.queued = queued
         self.limit = limit
         self.admitted_rank = admitted_rank
         self.expected_ms = expected_ms
         self.slow = slow
+        self.pressed_rank = pressed_rank
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -169,6 +172,11 @@
                     self.slow = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I16:
+                    self.pressed_rank = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -203,6 +211,10 @@
             oprot.writeFieldBegin('slow', TType.BOOL, 6)
             oprot.writeBool(self.slow)
             oprot.writeFieldEnd()
+        if self.pressed_rank is not None:
+            oprot.writeFieldBegin('pressed_rank', TType.I16, 7)
+            oprot.writeI16(self.pressed_rank)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2833,6 +2845,7 @@
     (4, TType.I16, 'admitted_rank', None, None, ),  # 4
     (5, TType.I32, 'expected_ms', None, None, ),  # 5
     (6, TType.BOOL, 'slow', None, None, ),  # 6
+    (7, TType.I16, 'pressed_rank', None, None, ),  # 7
 )
 all_structs.append(LoadPush)
 LoadPush.thrift_spec = (
--- a/tests/dispatch/test_attempts.py
+++ b/tests/dispatch/test_attempts.py
@@ -25,6 +25,7 @@
 from savorystand.lab.baseline import BaselineAdmission
 from savorystand.retry.executions import ExecutionLedger
 from savorystand.retry.policy import RetryPolicy
+from savorystand.routing.downstream import Downstream
 from savorystand.routing.router import Choice
 from savorystand.routing.router import Router
 from savorystand.tables.holder import TableHolder
@@ -67,6 +68,7 @@
         self.kernel.register('own pool', OwnPool(kernel=self.kernel))
         self.kernel.register('retry', RetryPolicy())
         self.kernel.register('executions', ExecutionLedger())
+        self.kernel.register('downstream', Downstream(clock=self.clock))
         self.router = Router(kernel=self.kernel, rng=random.Random(3))
         self.kernel.register('routing', self.router)
         self.kernel.register('peers', self)
@@ -305,6 +307,8 @@
     queue = AdmissionQueue(clock=kernel.find('clock', ManualClock))
     kernel.register('admission', queue)
     kernel.register('executions', ExecutionLedger())
+    clock = kernel.find('clock', ManualClock)
+    kernel.register('downstream', Downstream(clock=clock))
     kernel.register('own pool', OwnPool(kernel=kernel))
     outcome = await Inbound(kernel=kernel).serve(make_call())
     assert outcome.error.reason is Reason.DRAINING
--- /dev/null
+++ b/tests/dispatch/test_inbound.py
@@ -0,0 +1,48 @@
+"""Failures: a call reaches a target of another pool."""
+
+from __future__ import annotations
+
+import pytest
+
+from savorystand.admission.queue import AdmissionQueue
+from savorystand.clock import ManualClock
+from savorystand.dispatch.inbound import Inbound
+from savorystand.dispatch.own_pool import OwnPool
+from savorystand.kernel.kernel import Kernel
+from savorystand.retry.executions import ExecutionLedger
+from savorystand.routing.downstream import Downstream
+from savorystand.tables.holder import TableHolder
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+from tests.policy_doubles import make_call
+
+
+def _kernel() -> Kernel:
+    kernel = Kernel()
+    clock = ManualClock()
+    kernel.register('clock', clock)
+    kernel.register('tables', TableHolder())
+    kernel.register('executions', ExecutionLedger())
+    kernel.register('admission', AdmissionQueue(clock=clock))
+    kernel.register('own pool', OwnPool(kernel=kernel))
+    kernel.register('downstream', Downstream(clock=clock))
+    return kernel
+
+
+@pytest.mark.anyio
+async def test_call_for_another_pool_is_refused() -> None:
+    """An address that was given to another pool must not run the call."""
+    kernel = _kernel()
+    kernel.find('own pool', OwnPool).announce('billing', slots=4)
+    outcome = await Inbound(kernel=kernel).serve(make_call(pool='refill'))
+    assert isinstance(outcome.error, NotRun)
+    assert outcome.error.reason is Reason.DRAINING
+
+
+def test_route_of_a_newer_revision_is_served() -> None:
+    """A caller may know a route that this node has not learned yet."""
+    kernel = _kernel()
+    assert Inbound(kernel=kernel).route('new') is None
+    unlisted = Inbound(kernel=kernel, any_route=True).route('new')
+    assert unlisted is not None
+    assert not unlisted.idempotent
--- /dev/null
+++ b/tests/node/test_leaving.py
@@ -0,0 +1,112 @@
+"""Failures: a stopping node turns callers away or cuts their requests."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from savorystand.admission.queue import AdmissionQueue
+from savorystand.clock import ManualClock
+from savorystand.gateway.server import HttpListener
+from savorystand.kernel.kernel import Kernel
+from savorystand.membership.directory import Directory
+from savorystand.node.leaving import Leaving
+from savorystand.reporting.logs import EventLog
+from savorystand.tables.holder import TableHolder
+from savorystand.tables.tables import Tables
+from tests.policy_doubles import FakeDirectory
+from tests.policy_doubles import let_tasks_run
+from tests.policy_doubles import make_call
+
+pytestmark = pytest.mark.anyio
+_GRACE_MS = 6000
+
+
+class _Listener(HttpListener):
+    def __init__(self) -> None:
+        self.accepting = True
+        self.open = 1
+
+    def stop_accepting(self) -> None:
+        self.accepting = False
+
+    def connections(self) -> int:
+        return self.open
+
+
+class _Directory(FakeDirectory):
+    def __init__(self) -> None:
+        super().__init__([])
+        self.left = False
+
+    def leave(self) -> None:
+        self.left = True
+
+
+class _Node:
+    def __init__(self) -> None:
+        self.kernel = Kernel()
+        self.clock = ManualClock()
+        self.listener = _Listener()
+        self.directory = _Directory()
+        self.admission = AdmissionQueue(clock=self.clock)
+        self.admission.open_to_new_work()
+        self.kernel.register('clock', self.clock)
+        self.kernel.register('tables', TableHolder())
+        self.kernel.register('admission', self.admission)
+        self.kernel.register('membership', self.directory)
+        log = EventLog(clock=self.clock, node_id='node')
+        self.kernel.register('log', log)
+        self.kernel.register('caller listener', self.listener)
+        self.leaving = Leaving(kernel=self.kernel, grace_ms=_GRACE_MS)
+
+    def install(self) -> None:
+        tables = Tables(revision=1, change_id='', routes=(), pools=())
+        self.kernel.find('tables', TableHolder).install(tables)
+
+    async def pass_ms(self, ms: int) -> None:
+        for _ in range(ms // 50):
+            self.clock.advance(50)
+            await let_tasks_run()
+
+
+async def test_callers_are_served_until_they_are_sent_elsewhere() -> None:
+    """Connections are taken until the platform has noticed the stop."""
+    node = _Node()
+    assert not node.leaving.ready()
+    node.install()
+    assert node.leaving.ready()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(node.leaving.drain)
+        await let_tasks_run()
+        assert not node.leaving.ready()
+        assert isinstance(node.directory, Directory)
+        assert node.directory.left
+        await node.pass_ms(2400)
+        assert node.listener.accepting
+        await node.pass_ms(200)
+        assert not node.listener.accepting
+        node.listener.open = 0
+        await node.pass_ms(100)
+
+
+async def test_request_in_progress_delays_the_end() -> None:
+    """A request is finished unless the process would be killed anyway."""
+    node = _Node()
+    permit = (await node.admission.admit(make_call())).ok
+    node.listener.open = 0
+    ended = anyio.Event()
+
+    async def drain() -> None:
+        await node.leaving.drain()
+        ended.set()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(drain)
+        await let_tasks_run()
+        await node.pass_ms(4000)
+        assert not ended.is_set()
+        node.admission.release(permit, whole=True)
+        await node.pass_ms(100)
+        assert ended.is_set()
+    assert node.clock.now() < _GRACE_MS
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -18,6 +18,9 @@
   5: required i32 expected_ms,
   // The target is much slower than usual.
   6: optional bool slow,
+  // Calls below this rank are refused or delayed, here or at a pool that the
+  // route of the answered call depends on.
+  7: optional i16 pressed_rank,
 }
 
 // Sent to callers on their open connections, unasked.
