Read and write peers' streams without turns of the loop

Change: streams on the loop's transports; frames are written at once; the load is pushed every 200 ms beside workers; six tenths of the shared retries are planned with.

--- a/src/savorystand/dispatch/load_publisher.py
+++ b/src/savorystand/dispatch/load_publisher.py
@@ -16,7 +16,8 @@
     from savorystand.call import TargetLoad
     from savorystand.kernel.kernel import Kernel
 
-_TICK_MS = 50
+# Time between two looks at the load.
+TICK_MS = 50
 # Reports lose their force at the callers after half a second.
 _REPEAT_MS = 300
 
@@ -29,10 +30,11 @@
     calls make up the tail.
     """
 
-    __slots__ = ('_clock', '_kernel', '_kind', '_pushed_ms')
+    __slots__ = ('_clock', '_kernel', '_kind', '_pushed_ms', '_tick_ms')
 
-    def __init__(self, *, kernel: Kernel) -> None:
+    def __init__(self, *, kernel: Kernel, tick_ms: float = TICK_MS) -> None:
         """Find admission and transport in ``kernel``."""
+        self._tick_ms = tick_ms
         self._kernel = kernel
         self._clock = kernel.find('clock', Clock)
         self._kind = (False, 0)
@@ -43,7 +45,7 @@
         task_status.started()
         admission = self._kernel.find('admission', AdmissionQueue)
         while True:
-            await self._clock.sleep(_TICK_MS)
+            await self._clock.sleep(self._tick_ms)
             self._consider(admission.load())
 
     def _consider(self, load: TargetLoad) -> None:
--- a/src/savorystand/node/sidecar.py
+++ b/src/savorystand/node/sidecar.py
@@ -8,6 +8,7 @@
 from savorystand.clock import Clock
 from savorystand.dispatch.announcements import Announcements
 from savorystand.dispatch.inbound import Inbound
+from savorystand.dispatch.load_publisher import LoadPublisher
 from savorystand.dispatch.origins import Origins
 from savorystand.dispatch.own_pool import OwnPool
 from savorystand.gateway.server import HttpListener
@@ -34,7 +35,7 @@
 from savorystand.retry.budget import BudgetLimits
 from savorystand.retry.policy import RetryPolicy
 from savorystand.tables.follower import TableFollower
-from savorystand.transport.network import Network
+from savorystand.transport.direct import DirectNetwork
 
 if TYPE_CHECKING:
     from savorystand.kernel.kernel import Factory
@@ -43,11 +44,14 @@
 # Part of the time for which a leaving target may get work after which its own
 # node refuses it: what is on its way by then still arrives in time.
 _LEAVE_SHARE = 0.5
-# Part of the shared retries that nodes plan with. A repeated call repeats the
-# calls that it makes, so that each level of a chain adds to the deepest pool.
-_RETRY_SHARE = 0.25
+# Part of the shared retries that nodes plan with. A call repeated after it may
+# have run repeats the calls that it makes, which count at deeper pools.
+_RETRY_SHARE = 0.6
 # Nodes that may spend saved-up retries on one pool at the same time.
 _SPENDERS = 40
+# Time between two looks at the own load. Each push goes to all callers, and
+# answers carry the load anyway.
+_PUSH_MS = 200
 # The platform's clients keep idle connections for as long as the operator's
 # limits allow; this node never closes one before them.
 _KEEP_ALIVE_SECONDS = 300
@@ -57,7 +61,7 @@
     """Return the kernel of a node on the platform, ready to run."""
     plan: dict[str, Factory] = {
         'clock': lambda kernel: Clock(),
-        'network': lambda kernel: Network(),
+        'network': lambda kernel: DirectNetwork(),
         **state_plan(cfg.node, node_id),
         'log': lambda kernel: EventLog(
             clock=kernel.find('clock', Clock),
@@ -80,6 +84,9 @@
         'origins': lambda kernel: Origins(kernel=kernel),
         'inbound': lambda kernel: Inbound(kernel=kernel, any_route=True),
         **dispatch_plan(node_id),
+        'load publisher': lambda kernel: LoadPublisher(
+            kernel=kernel, tick_ms=_PUSH_MS
+        ),
         **_listener_plan(cfg),
     }
     kernel = Kernel()
--- a/src/savorystand/transport/writer.py
+++ b/src/savorystand/transport/writer.py
@@ -7,10 +7,13 @@
 
 import anyio
 
+from savorystand.transport.direct import DirectStream
 from savorystand.wire.codec import Message
 from savorystand.wire.codec import encode_frame
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from anyio.abc import ByteSendStream
 
 # Bound on the chunks that wait in one connection, so that an upload is held
@@ -21,10 +24,12 @@
 class FrameWriter:
     """Outbox of one connection, emptied by one task."""
 
-    __slots__ = ('_chunks', '_room', '_urgent', '_wake')
+    __slots__ = ('_chunks', '_room', '_try_send', '_urgent', '_wake')
 
     def __init__(self) -> None:
         """Start with an empty outbox."""
+        # Writes at once where the stream can.
+        self._try_send: Callable[[bytes], bool] | None = None
         self._urgent: deque[bytes] = deque()
         self._chunks: deque[bytes] = deque()
         self._wake = anyio.Event()
@@ -36,7 +41,11 @@
         Raises:
             FrameError: the frame is too long.
         """
-        self._urgent.append(encode_frame(frame))
+        encoded = encode_frame(frame)
+        if self._try_send is not None and self.idle():
+            if self._try_send(encoded):
+                return
+        self._urgent.append(encoded)
         self._wake.set()
 
     async def send_chunk(self, frame: Message) -> None:
@@ -63,6 +72,8 @@
             anyio.BrokenResourceError: the connection is broken.
             anyio.ClosedResourceError: the connection was closed.
         """
+        if isinstance(stream, DirectStream):
+            self._try_send = stream.try_send
         while True:
             if self.idle():
                 self._wake = anyio.Event()
