--- a/src/savorystand/reporting/call_log.py
+++ b/src/savorystand/reporting/call_log.py
@@ -117,8 +117,9 @@
         *more: tuple[str, str],
         detail: str,
     ) -> None:
-        self._log.write(
-            Event(
+        self._log.write_lazily(
+            name,
+            lambda: Event(
                 name=name,
                 level=Level.WARNING,
                 request_id=call.context.request_id[:_MAX_TEXT],
@@ -131,5 +132,5 @@
                     ('parent_route', call.parent_route),
                     ('elapsed_ms', f'{elapsed_ms:.1f}'),
                 ),
-            )
+            ),
         )
--- a/src/savorystand/reporting/logs.py
+++ b/src/savorystand/reporting/logs.py
@@ -19,6 +19,8 @@
 from savorystand.kernel.service import Service
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from anyio.abc import TaskStatus
 
     from savorystand.clock import Clock
@@ -145,11 +147,23 @@
 
     def write(self, event: Event) -> None:
         """Write an event, or count it if its name has used up its share."""
-        self._turn()
-        self._written[event.name] += 1
-        if self._written[event.name] <= EVENTS_PER_SECOND:
+        if self.admits(event.name):
             self._write(event)
 
+    def write_lazily(self, name: EventName, make: Callable[[], Event]) -> None:
+        """Write what ``make`` returns, which is not called beyond the share.
+
+        Under load most events are only counted.
+        """
+        if self.admits(name):
+            self._write(make())
+
+    def admits(self, name: EventName) -> bool:
+        """Count an event; return False if its name has used up its share."""
+        self._turn()
+        self._written[name] += 1
+        return self._written[name] <= EVENTS_PER_SECOND
+
     def flush(self) -> None:
         """Log the suppressed counts and start a new second."""
         written = self._written
--- /dev/null
+++ b/tests/reporting/test_call_log.py
@@ -0,0 +1,62 @@
+"""Failures: a failed request leaves no trace, or logging grows with load."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+
+from savorystand.call import Answer
+from savorystand.clock import ManualClock
+from savorystand.kernel.kernel import Kernel
+from savorystand.reporting.call_log import CallLog
+from savorystand.reporting.logs import EVENTS_PER_SECOND
+from savorystand.reporting.logs import EventLog
+from savorystand.reporting.logs import log_handler
+from savorystand.tables.holder import TableHolder
+from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
+from tests.reporting.builders import call_of
+
+if TYPE_CHECKING:
+    import pytest
+
+
+def _call_log() -> CallLog:
+    kernel = Kernel()
+    kernel.register('tables', TableHolder())
+    kernel.register('log', EventLog(clock=ManualClock(), node_id='aa'))
+    return CallLog(kernel=kernel)
+
+
+def test_failed_request_is_found_by_its_id(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Its line has to carry the reason and what decided it."""
+    refusal = NotRun(reason=Reason.OVERLOADED, detail='expected wait is 90 ms')
+    with log_handler().applicationbound():
+        log = _call_log()
+        log.on_call(call_of('lookup', request_id='r7'), Error(refusal), 12.5)
+        failed = Ok(Answer(status=500, headers=(), body=b''))
+        log.on_call(call_of('lookup', request_id='r8'), failed, 20)
+        answered = Ok(Answer(status=200, headers=(), body=b''))
+        log.on_call(call_of('lookup', request_id='r9'), answered, 20)
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 2
+    assert 'request_id=r7' in lines[0]
+    assert 'reason=overloaded' in lines[0]
+    assert 'expected wait is 90 ms' in lines[0]
+    assert 'request_id=r8' in lines[1]
+    assert 'status 500' in lines[1]
+
+
+def test_volume_is_bounded(capsys: pytest.CaptureFixture[str]) -> None:
+    """A surge of refusals must not turn into a surge of lines."""
+    refusal = Error(NotRun(reason=Reason.OVERLOADED))
+    with log_handler().applicationbound():
+        log = _call_log()
+        for _ in range(1000):
+            log.on_call(call_of('lookup'), refusal, 1)
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == EVENTS_PER_SECOND
