Name connection headers once and filter an answer's headers once

Cause: the read-through found the list of connection headers written twice, headers of an answer filtered at the worker's node and again at the entry, and three texts that were not true (metrics in a module header, the units of default bounds, repeated attempts in the log). Change: CONNECTION_HEADERS in gateway/headers serves both; the entry passes an answer's headers on as the worker's node has filtered them. No other behaviour changes.

--- a/src/savorystand/gateway/headers.py
+++ b/src/savorystand/gateway/headers.py
@@ -17,26 +17,28 @@
 # Number of the caller's attempt at a request, counted from 1.
 ATTEMPT = 'savorystand-attempt'
 
-# Headers that belong to one connection (RFC 9110, section 7.6.1) or that the
-# node sets itself.
-_NOT_FORWARDED = frozenset(
+# Headers that belong to one connection (RFC 9110, section 7.6.1).
+CONNECTION_HEADERS = frozenset(
     (
         'connection',
         'content-length',
         'expect',
-        'host',
         'keep-alive',
         'proxy-connection',
         'te',
         'trailer',
         'transfer-encoding',
         'upgrade',
-        ATTEMPT,
-        DEADLINE,
-        CONTEXT,
-        VERDICT,
     )
 )
+# These, and headers that the node sets itself.
+_NOT_FORWARDED = CONNECTION_HEADERS | {
+    'host',
+    ATTEMPT,
+    DEADLINE,
+    CONTEXT,
+    VERDICT,
+}
 
 
 def forwarded(headers: Headers) -> Headers:
--- a/src/savorystand/platform/control.py
+++ b/src/savorystand/platform/control.py
@@ -1,4 +1,4 @@
-"""Requests of the platform itself: readiness, announcements, metrics."""
+"""Requests of the platform itself: readiness and announcements."""
 
 from __future__ import annotations
 
--- a/src/savorystand/platform/ingress.py
+++ b/src/savorystand/platform/ingress.py
@@ -54,22 +54,11 @@
 }
 _CLOSE = (('connection', 'close'),)
 # Set by this node, or stand for one connection only.
-_REPLACED = frozenset(
-    (
-        'connection',
-        'content-length',
-        'expect',
-        'keep-alive',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-        names.CALLER_SERVICE,
-        names.DEADLINE,
-        names.EXPECTED_INSTANCE,
-    )
-)
+_REPLACED = own_names.CONNECTION_HEADERS | {
+    names.CALLER_SERVICE,
+    names.DEADLINE,
+    names.EXPECTED_INSTANCE,
+}
 
 
 class Ingress:
@@ -185,7 +174,7 @@
         case Result(tag='ok', ok=answer):
             return Reply(
                 status=answer.status,
-                headers=own_names.forwarded(answer.headers),
+                headers=answer.headers,
                 body=answer.body,
             )
         case Result(error=refusal):
--- a/src/savorystand/platform/settings.py
+++ b/src/savorystand/platform/settings.py
@@ -20,8 +20,8 @@
 
 # Environment variable that holds the path of the file.
 PATH_VARIABLE = 'SAVORYSTAND_NODE_FILE'
-# Bounds that this program was built with, where the file gives none. Times in
-# milliseconds, the grace period and the window in seconds.
+# Used where the file gives none; the first in milliseconds, the second in
+# seconds, the last two in retries a request and in retries.
 _DEFAULT_BOUNDS = {  # noqa: WPS407
     'drainMs': 2500.0,
     'graceS': 6.0,
--- a/src/savorystand/reporting/call_log.py
+++ b/src/savorystand/reporting/call_log.py
@@ -68,7 +68,7 @@
         elapsed_ms: float,
         kind: AttemptKind,
     ) -> None:
-        """Log an attempt that was refused, or that repeats another."""
+        """Log an attempt that was refused or lost."""
         if outcome is None or outcome.is_ok():
             return
         self._refused(
