--- a/src/savorystand/call.py
+++ b/src/savorystand/call.py
@@ -150,3 +150,17 @@
 
 
 Outcome: TypeAlias = Result[Answer, Refusal]
+
+
+class Answered(Result[Answer, Refusal]):
+    """The outcome of a call that was answered.
+
+    The library's constructor takes ten times as long, mostly to check the
+    name of the case.
+    """
+
+    __slots__ = ()
+
+    def __init__(self, answer: Answer) -> None:
+        """Hold a whole answer."""
+        self.__dict__.update(tag='ok', ok=answer)
--- a/src/savorystand/console/platform.py
+++ b/src/savorystand/console/platform.py
@@ -17,14 +17,14 @@
 from savorystand.console.failures import UnknownCommandError
 from savorystand.console.failures import UnreachableCommandError
 from savorystand.platform.connections import ServiceConnections
-from savorystand.platform.errors import StoreError
-from savorystand.platform.errors import StoreUnavailableError
 from savorystand.platform.object_store import ObjectStore
 from savorystand.platform.table_store import TableStore
 from savorystand.settings.addresses import AddressError
 from savorystand.settings.addresses import parse_service_url
 from savorystand.settings.errors import SettingsError
 from savorystand.settings.loader import load_settings
+from savorystand.store.errors import StoreError
+from savorystand.store.errors import StoreUnavailableError
 from savorystand.tables.edits import EditConflictError
 from savorystand.tables.edits import EditError
 from savorystand.tables.edits import EditUnavailableError
--- a/src/savorystand/deduplication/claim_batch.py
+++ b/src/savorystand/deduplication/claim_batch.py
@@ -15,10 +15,10 @@
 from savorystand.deduplication.claim_rows import judge_row
 from savorystand.deduplication.claims import Claimed
 from savorystand.deduplication.claims import Unresolved
-from savorystand.platform.errors import ConditionFailedError
-from savorystand.platform.errors import StoreContentionError
-from savorystand.platform.errors import StoreError
-from savorystand.platform.errors import StoreUnknownError
+from savorystand.store.errors import ConditionFailedError
+from savorystand.store.errors import StoreContentionError
+from savorystand.store.errors import StoreError
+from savorystand.store.errors import StoreUnknownError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -26,8 +26,8 @@
     from savorystand.clock import Clock
     from savorystand.deduplication.breaker import Breaker
     from savorystand.deduplication.claims import Claim
-    from savorystand.platform.store import ItemStore
-    from savorystand.platform.store import Put
+    from savorystand.store.items import ItemStore
+    from savorystand.store.items import Put
 
 # Each round removes rows that are taken or meets other transactions.
 _MAX_ROUNDS = 4
--- a/src/savorystand/deduplication/claim_rows.py
+++ b/src/savorystand/deduplication/claim_rows.py
@@ -9,12 +9,12 @@
 from savorystand.deduplication.claims import Claimed
 from savorystand.deduplication.claims import HeldElsewhere
 from savorystand.deduplication.claims import Unresolved
-from savorystand.platform.store import Absent
-from savorystand.platform.store import Put
+from savorystand.store.items import Absent
+from savorystand.store.items import Put
 
 if TYPE_CHECKING:
     from savorystand.deduplication.claims import Claim
-    from savorystand.platform.store import Attributes
+    from savorystand.store.items import Attributes
 
 # The store deletes rows some time after this age. It exceeds the age at which
 # callers still repeat a request.
--- a/src/savorystand/deduplication/table_claims.py
+++ b/src/savorystand/deduplication/table_claims.py
@@ -21,7 +21,7 @@
     from anyio.abc import TaskStatus
 
     from savorystand.clock import Clock
-    from savorystand.platform.store import ItemStore
+    from savorystand.store.items import ItemStore
 
 # Waiting this long for more claims costs little against a write.
 _GATHER_MS = 2
--- a/src/savorystand/dispatch/inbound.py
+++ b/src/savorystand/dispatch/inbound.py
@@ -77,8 +77,12 @@
         return route
 
     def load(self) -> TargetLoad:
-        """Return the present load of the own target."""
-        return self._admission.load()
+        """Return the load of the own target, some milliseconds old."""
+        now = self._clock.now()
+        if now - self._load_ms > _LOAD_MS:
+            self._load = self._admission.load()
+            self._load_ms = now
+        return self._load
 
     async def serve(self, call: Call) -> Outcome:
         """Serve a call; cancellation means that the caller is gone."""
@@ -133,11 +137,7 @@
                 return refusal.reason is Reason.TARGET_REFUSED
 
     def _load_for(self, route: str) -> TargetLoad:
-        now = self._clock.now()
-        if now - self._load_ms > _LOAD_MS:
-            self._load = self._admission.load()
-            self._load_ms = now
-        load = self._load
+        load = self.load()
         below = self._downstream.pressed_rank(route)
         if below <= load.pressed_rank:
             return load
--- a/src/savorystand/dispatch/origins.py
+++ b/src/savorystand/dispatch/origins.py
@@ -102,11 +102,7 @@
 
     def _usual(self, name: str) -> Origin | None:
         caller = self._callers[name].most_common(1)[0][0]
-        running = Counter(
-            importance
-            for route, importance in self._ledger.routes()
-            if route == caller
-        )
-        if not running:
+        importance = self._ledger.usual_importance(caller)
+        if importance is None:
             return None
-        return Origin(route=caller, importance=running.most_common(1)[0][0])
+        return Origin(route=caller, importance=importance)
--- a/src/savorystand/dispatch/spending.py
+++ b/src/savorystand/dispatch/spending.py
@@ -7,9 +7,9 @@
 from typing import final
 
 from expression import Error
-from expression import Ok
 from expression import Result
 
+from savorystand.call import Answered
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
@@ -93,7 +93,7 @@
             case Result(tag='ok', ok=answer):
                 if not self._policy.lends:
                     return outcome
-                return Ok(answer.reporting(self.retries, answer.load))
+                return Answered(answer.reporting(self.retries, answer.load))
             case Result(error=refusal):
                 final_refusal = self._may_have_run or self._not_run or refusal
                 return Error(replace(final_refusal, retries_left=self.retries))
--- a/src/savorystand/gateway/headers.py
+++ b/src/savorystand/gateway/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -17,6 +18,7 @@
 # Number of the caller's attempt at a request, counted from 1.
 ATTEMPT = 'savorystand-attempt'
 
+_NAMES_KEPT = 256
 # Headers that belong to one connection (RFC 9110, section 7.6.1).
 CONNECTION_HEADERS = frozenset(
     (
@@ -41,6 +43,15 @@
 }
 
 
+@functools.lru_cache(maxsize=_NAMES_KEPT)
+def header_name(raw: bytes) -> str:
+    """Return the name of a header in lower case.
+
+    Callers and targets use few names, so that most are found decoded.
+    """
+    return raw.decode('latin-1').lower()
+
+
 def forwarded(headers: Headers) -> Headers:
     """Return the headers that travel end to end."""
     return tuple(pair for pair in headers if pair[0] not in NOT_FORWARDED)
--- a/src/savorystand/gateway/http_connection.py
+++ b/src/savorystand/gateway/http_connection.py
@@ -23,6 +23,7 @@
 
 from savorystand.call import Answer
 from savorystand.gateway.errors import TargetProtocolError
+from savorystand.gateway.headers import header_name
 from savorystand.transport.conversion import MAX_BODY_BYTES
 
 if TYPE_CHECKING:
@@ -61,12 +62,15 @@
         'parts',
         'spoiled',
         'status',
+        '_unparsed',
     )
 
     def __init__(self, belongs: Belongs | None) -> None:
         self._belongs = belongs
         self._parser = HttpResponseParser(self)
         self._size = 0
+        # Bytes since the parser last finished a head or a part of a body.
+        self._unparsed = 0
         self.headers_complete = False
         # Bytes of some other response arrived: nothing may follow.
         self.spoiled = False
@@ -77,12 +81,16 @@
         self.keep_alive = False
 
     def feed(self, received: bytes) -> None:
+        self._unparsed += len(received)
         try:
             self._parser.feed_data(received)
         except HttpParserError as exc:
             self.spoiled = True
             if not self.complete or self._belongs is None:
                 raise TargetProtocolError(str(exc)) from exc
+        # Trailers and chunk extensions count like a head.
+        if self._unparsed > _MAX_HEADER_BYTES and not self.complete:
+            raise TargetProtocolError('head of the response is too long')
 
     def on_message_begin(self) -> None:
         if not self.complete:
@@ -94,21 +102,22 @@
     def on_header(self, name: bytes, text: bytes) -> None:
         if self.complete:
             return
-        self._grow(len(name) + len(text), _MAX_HEADER_BYTES)
-        decoded = (name.decode('latin-1').lower(), text.decode('latin-1'))
-        self.headers.append(decoded)
+        self.headers.append((header_name(name), text.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
         if self.complete:
             return
         self.status = self._parser.get_status_code()
         self.headers_complete = True
-        self._size = 0
+        self._unparsed = 0
 
     def on_body(self, body: bytes) -> None:
         if self.complete:
             return
-        self._grow(len(body), MAX_BODY_BYTES)
+        self._unparsed = 0
+        self._size += len(body)
+        if self._size > MAX_BODY_BYTES:
+            raise TargetProtocolError(f'body exceeds {MAX_BODY_BYTES} bytes')
         self.parts.append(body)
 
     def on_message_complete(self) -> None:
@@ -150,11 +159,6 @@
         self.parts.clear()
         self.headers_complete = False
 
-    def _grow(self, size: int, bound: int) -> None:
-        self._size += size
-        if self._size > bound:
-            raise TargetProtocolError(f'response exceeds {bound} bytes')
-
 
 class HttpConnection(asyncio.Protocol):
     """Sends one request at a time and reads its whole response."""
--- a/src/savorystand/gateway/request_protocol.py
+++ b/src/savorystand/gateway/request_protocol.py
@@ -25,6 +25,7 @@
 from savorystand.gateway.asgi import MAX_HEADERS
 from savorystand.gateway.asgi import MAX_UNFINISHED_BYTES
 from savorystand.gateway.contexts import Request
+from savorystand.gateway.headers import header_name
 from savorystand.gateway.protocol import BODY_IDLE_SECONDS
 from savorystand.gateway.protocol import HEAD_SECONDS
 from savorystand.gateway.protocol import MAX_CONNECTIONS
@@ -82,7 +83,6 @@
         '_connections',
         '_ends',
         '_app',
-        '_head_bytes',
         '_headers',
         '_idle_seconds',
         '_in_head',
@@ -185,18 +185,15 @@
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Take a header."""
-        self._head_bytes += len(name) + len(text)
-        if self._head_bytes <= MAX_HEADER_BYTES:
-            self._headers.append(
-                (name.decode('latin-1').lower(), text.decode('latin-1'))
-            )
+        if len(self._headers) <= MAX_HEADERS:
+            self._headers.append((header_name(name), text.decode('latin-1')))
 
     def on_headers_complete(self) -> None:
         """Check the head and begin to measure a body."""
         self._in_head = False
         self._unparsed = 0
         self._received_ms = self._app.clock.now()
-        size = self._head_bytes
+        size = sum([len(name) + len(text) for name, text in self._headers])
         if len(self._url) > MAX_PATH_BYTES:
             self._refuse(_too_large(f'path of {len(self._url)} bytes'))
         elif size > MAX_HEADER_BYTES or len(self._headers) > MAX_HEADERS:
@@ -258,7 +255,6 @@
     def _begin(self) -> None:
         self._url = b''
         self._headers: list[tuple[str, str]] = []
-        self._head_bytes = 0
         self._body: list[bytes] = []
         self._size = 0
         self._received_ms = float(0)
--- a/src/savorystand/gateway/target_client.py
+++ b/src/savorystand/gateway/target_client.py
@@ -103,10 +103,8 @@
 
     def _encode(self, call: Call, execution_id: str, left_ms: float) -> bytes:
         headers = self._dialect.request_headers(call, execution_id, left_ms)
-        lines = [
-            f'{call.method} {call.path} HTTP/1.1',
-            *(f'{name}: {text}' for name, text in headers),
-            f'content-length: {len(call.body)}',
-            '\r\n',
-        ]
+        lines = [f'{name}: {text}' for name, text in headers]
+        lines.insert(0, f'{call.method} {call.path} HTTP/1.1')
+        lines.append(f'content-length: {len(call.body)}')
+        lines.append('\r\n')
         return '\r\n'.join(lines).encode('latin-1') + call.body
--- a/src/savorystand/lab/deployments/publishing.py
+++ b/src/savorystand/lab/deployments/publishing.py
@@ -12,8 +12,8 @@
 from savorystand.lab.deployments.settings_file import PLATFORM_KEY
 from savorystand.lab.http_client import send_json
 from savorystand.platform.connections import ServiceConnections
-from savorystand.platform.errors import StoreError
 from savorystand.platform.table_store import TableStore
+from savorystand.store.errors import StoreError
 from savorystand.tables.editor import TableEditor
 from savorystand.tables.edits import EditConflictError
 from savorystand.tables.edits import EditError
--- a/src/savorystand/lab/fuzz/editing.py
+++ b/src/savorystand/lab/fuzz/editing.py
@@ -6,7 +6,7 @@
 from typing import final
 
 from savorystand.lab.fuzz.store import StoreClient
-from savorystand.platform.errors import StoreError
+from savorystand.store.errors import StoreError
 from savorystand.tables.editor import TableEditor
 from savorystand.tables.edits import EditError
 from savorystand.tables.repository import TableRepository
--- a/src/savorystand/lab/fuzz/store.py
+++ b/src/savorystand/lab/fuzz/store.py
@@ -8,11 +8,11 @@
 import anyio
 
 from savorystand.clock import MS_PER_SECOND
-from savorystand.platform.errors import ConditionFailedError
-from savorystand.platform.errors import StoreUnavailableError
-from savorystand.platform.errors import StoreUnknownError
-from savorystand.platform.store import Absent
-from savorystand.platform.store import Unchanged
+from savorystand.store.errors import ConditionFailedError
+from savorystand.store.errors import StoreUnavailableError
+from savorystand.store.errors import StoreUnknownError
+from savorystand.store.items import Absent
+from savorystand.store.items import Unchanged
 
 if TYPE_CHECKING:
     import random
@@ -21,8 +21,8 @@
 
     from anyio.abc import TaskGroup
 
-    from savorystand.platform.store import Attributes
-    from savorystand.platform.store import Put
+    from savorystand.store.items import Attributes
+    from savorystand.store.items import Put
 
 STORE_MODES = ('up', 'down', 'lost', 'late', 'dropped')
 _LATENCY_MS = 10
--- a/src/savorystand/lab/slopes/store.py
+++ b/src/savorystand/lab/slopes/store.py
@@ -29,8 +29,8 @@
     from collections.abc import Sequence
 
     from savorystand.lab.slopes.fit import Point
-    from savorystand.platform.store import Attributes
-    from savorystand.platform.store import Put
+    from savorystand.store.items import Attributes
+    from savorystand.store.items import Put
 
 _MS_PER_SECOND = 1000
 _US_PER_SECOND = 1000000
--- a/src/savorystand/membership/rendezvous.py
+++ b/src/savorystand/membership/rendezvous.py
@@ -10,9 +10,9 @@
 
 from savorystand.clock import Clock
 from savorystand.kernel.service import Service
-from savorystand.platform.errors import StoreError
 from savorystand.reporting.events import dependency_changed
 from savorystand.reporting.logs import EventLog
+from savorystand.store.errors import StoreError
 
 if TYPE_CHECKING:
     import random
--- a/src/savorystand/platform/connections.py
+++ b/src/savorystand/platform/connections.py
@@ -12,8 +12,8 @@
 import httpcore
 
 from savorystand.clock import MS_PER_SECOND
-from savorystand.platform.errors import StoreUnavailableError
-from savorystand.platform.errors import StoreUnknownError
+from savorystand.store.errors import StoreUnavailableError
+from savorystand.store.errors import StoreUnknownError
 
 if TYPE_CHECKING:
     from savorystand.settings.node import Address
--- a/src/savorystand/platform/object_store.py
+++ b/src/savorystand/platform/object_store.py
@@ -7,9 +7,9 @@
 
 from savorystand.platform.connections import ServiceConnections
 from savorystand.platform.connections import ServiceRequest
-from savorystand.platform.errors import StoreUnavailableError
-from savorystand.platform.errors import StoreUnknownError
 from savorystand.platform.row_client import check_status
+from savorystand.store.errors import StoreUnavailableError
+from savorystand.store.errors import StoreUnknownError
 
 if TYPE_CHECKING:
     from savorystand.platform.connections import ServiceAnswer
--- a/src/savorystand/platform/row_client.py
+++ b/src/savorystand/platform/row_client.py
@@ -12,10 +12,10 @@
 
 from savorystand.platform.connections import ServiceConnections
 from savorystand.platform.connections import ServiceRequest
-from savorystand.platform.errors import HistoryLostError
-from savorystand.platform.errors import StoreError
-from savorystand.platform.errors import StoreUnavailableError
-from savorystand.platform.errors import StoreUnknownError
+from savorystand.store.errors import HistoryLostError
+from savorystand.store.errors import StoreError
+from savorystand.store.errors import StoreUnavailableError
+from savorystand.store.errors import StoreUnknownError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/savorystand/platform/table_store.py
+++ b/src/savorystand/platform/table_store.py
@@ -7,22 +7,22 @@
 
 import anyio
 
-from savorystand.platform.errors import ConditionFailedError
-from savorystand.platform.errors import StoreError
-from savorystand.platform.errors import StoreUnavailableError
 from savorystand.platform.row_client import Row
 from savorystand.platform.row_client import RowClient
 from savorystand.platform.row_client import RowKey
 from savorystand.platform.row_client import RowsChangedError
-from savorystand.platform.store import Absent
-from savorystand.platform.store import Unchanged
+from savorystand.store.errors import ConditionFailedError
+from savorystand.store.errors import StoreError
+from savorystand.store.errors import StoreUnavailableError
+from savorystand.store.items import Absent
+from savorystand.store.items import Unchanged
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from savorystand.platform.connections import ServiceConnections
-    from savorystand.platform.store import Attributes
-    from savorystand.platform.store import Put
+    from savorystand.store.items import Attributes
+    from savorystand.store.items import Put
 
 TABLE_NAME = 'savorystand'
 # Rows that continue items which exceed one row.
--- a/src/savorystand/platform/worker_dialect.py
+++ b/src/savorystand/platform/worker_dialect.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING
 
 from expression import Error
-from expression import Ok
 
 from savorystand.call import Answer
+from savorystand.call import Answered
 from savorystand.dispatch.own_pool import OwnPool
 from savorystand.gateway.headers import NOT_FORWARDED
 from savorystand.platform import headers as names
@@ -63,7 +63,7 @@
                 return Error(refusal)
             if pair[0] not in _DROPPED:
                 kept.append(pair)
-        return Ok(
+        return Answered(
             Answer(status=answer.status, headers=tuple(kept), body=answer.body)
         )
 
--- a/src/savorystand/retry/executions.py
+++ b/src/savorystand/retry/executions.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
+import bisect
 import itertools
 import secrets
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import final
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from savorystand.call import CallContext
     from savorystand.call import Importance
 
@@ -36,7 +36,7 @@
 class ExecutionLedger:
     """The running executions of the own target, by id."""
 
-    __slots__ = ('_numbers', '_prefix', '_running')
+    __slots__ = ('_by_route', '_ends', '_numbers', '_prefix', '_running')
 
     def __init__(self) -> None:
         """Start with no execution."""
@@ -44,6 +44,10 @@
         self._prefix = secrets.token_hex(_ID_BYTES)
         self._numbers = itertools.count(1)
         self._running: dict[str, Execution] = {}
+        # Deadline and id of each, in order.
+        self._ends: list[tuple[float, str]] = []
+        # By route: running executions of each importance.
+        self._by_route: dict[str, Counter[Importance]] = {}
 
     def __len__(self) -> int:
         """Return the number of running executions."""
@@ -58,11 +62,23 @@
             retries_left=context.retries_left,
         )
         self._running[execution.execution_id] = execution
+        bisect.insort(self._ends, _end(execution))
+        counts = self._by_route.get(route)
+        if counts is None:
+            counts = Counter()
+            self._by_route[route] = counts
+        counts[context.importance] += 1
         return execution
 
     def close(self, execution: Execution) -> None:
         """Forget an execution; its late calls are refused from now on."""
-        self._running.pop(execution.execution_id, None)
+        if self._running.pop(execution.execution_id, None) is None:
+            return
+        del self._ends[bisect.bisect_left(self._ends, _end(execution))]
+        counts = self._by_route[execution.route]
+        counts[execution.context.importance] -= 1
+        if not counts.total():
+            del self._by_route[execution.route]
 
     def find(self, execution_id: str) -> Execution | None:
         """Return the running execution of that id."""
@@ -75,18 +91,22 @@
 
         None if all lie further than ``tolerance_ms`` from ``deadline_ms``.
         """
-        best: Execution | None = None
-        for execution in self._running.values():
-            gap_ms = abs(execution.context.deadline_ms - deadline_ms)
+        place = bisect.bisect_left(self._ends, (deadline_ms, ''))
+        best = ''
+        for end_ms, execution_id in self._ends[max(0, place - 1) : place + 1]:
+            gap_ms = abs(end_ms - deadline_ms)
             if gap_ms < tolerance_ms:
-                best = execution
+                best = execution_id
                 tolerance_ms = gap_ms
-        return best
+        return self._running[best] if best else None
+
+    def usual_importance(self, route: str) -> Importance | None:
+        """Return the importance that most running executions of a route have.
 
-    def routes(self) -> Iterator[tuple[str, Importance]]:
-        """Yield route and importance of each running execution."""
-        for execution in self._running.values():
-            yield execution.route, execution.context.importance
+        None if none of them runs.
+        """
+        counts = self._by_route.get(route)
+        return None if counts is None else max(counts, key=counts.__getitem__)
 
     def lend(self, execution_id: str) -> int:
         """Take the whole remaining budget for one call of the execution.
@@ -111,3 +131,7 @@
             execution.retries_left + max(0, returned),
         )
         execution.failed_below = execution.failed_below or failed
+
+
+def _end(execution: Execution) -> tuple[float, str]:
+    return execution.context.deadline_ms, execution.execution_id
--- /dev/null
+++ b/src/savorystand/store/__init__.py
@@ -0,0 +1,1 @@
+"""What the product keeps in the platform's store, in its own names."""
--- a/src/savorystand/tables/editor.py
+++ b/src/savorystand/tables/editor.py
@@ -9,11 +9,11 @@
 from typing import TypeAlias
 from typing import final
 
-from savorystand.platform.errors import ConditionFailedError
-from savorystand.platform.errors import StoreContentionError
-from savorystand.platform.errors import StoreError
-from savorystand.platform.errors import StoreUnavailableError
-from savorystand.platform.errors import StoreUnknownError
+from savorystand.store.errors import ConditionFailedError
+from savorystand.store.errors import StoreContentionError
+from savorystand.store.errors import StoreError
+from savorystand.store.errors import StoreUnavailableError
+from savorystand.store.errors import StoreUnknownError
 from savorystand.tables.document import TablesDocument
 from savorystand.tables.edits import EditConflictError
 from savorystand.tables.edits import EditError
--- a/src/savorystand/tables/feed_reader.py
+++ b/src/savorystand/tables/feed_reader.py
@@ -6,10 +6,10 @@
 from typing import Protocol
 
 from savorystand.clock import Clock
-from savorystand.platform.errors import HistoryLostError
-from savorystand.platform.errors import StoreError
 from savorystand.reporting.events import dependency_changed
 from savorystand.reporting.logs import EventLog
+from savorystand.store.errors import HistoryLostError
+from savorystand.store.errors import StoreError
 
 if TYPE_CHECKING:
     import random
--- a/src/savorystand/tables/platform_reader.py
+++ b/src/savorystand/tables/platform_reader.py
@@ -11,7 +11,7 @@
 import anyio
 
 from savorystand.clock import MS_PER_SECOND
-from savorystand.platform.errors import StoreError
+from savorystand.store.errors import StoreError
 from savorystand.tables.document import TablesDocument
 from savorystand.tables.readers import is_reader
 
--- a/src/savorystand/tables/repository.py
+++ b/src/savorystand/tables/repository.py
@@ -7,15 +7,15 @@
 from typing import TYPE_CHECKING
 from typing import final
 
-from savorystand.platform.errors import StoreError
-from savorystand.platform.store import Absent
-from savorystand.platform.store import Put
-from savorystand.platform.store import Unchanged
+from savorystand.store.errors import StoreError
+from savorystand.store.items import Absent
+from savorystand.store.items import Put
+from savorystand.store.items import Unchanged
 from savorystand.tables.document import TablesDocument
 
 if TYPE_CHECKING:
-    from savorystand.platform.store import Attributes
-    from savorystand.platform.store import ItemStore
+    from savorystand.store.items import Attributes
+    from savorystand.store.items import ItemStore
 
 _HEAD_ID = 'head'
 _REVISION = 'revision'
--- a/src/savorystand/tables/snapshot.py
+++ b/src/savorystand/tables/snapshot.py
@@ -7,11 +7,11 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from savorystand.platform.errors import StoreError
+from savorystand.store.errors import StoreError
 from savorystand.tables.document import TablesDocument
 
 if TYPE_CHECKING:
-    from savorystand.platform.store import Bucket
+    from savorystand.store.items import Bucket
 
 SNAPSHOT_NAME = 'tables/snapshot.json'
 _TEXTS = ('change_id', 'routes', 'pools')
--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -21,6 +21,7 @@
 from savorystand.transport.observers import LoadObserver
 from savorystand.transport.observers import PeerObservers
 from savorystand.transport.server import ServerConnection
+from savorystand.wire.codec import encode_frame
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -127,8 +128,9 @@
 
     def send_served(self, frame: Message) -> None:
         """Send a control frame on each connection that a peer has opened."""
+        encoded = encode_frame(frame)
         for served in self._serving:
-            served.send(frame)
+            served.send(encoded)
 
     def forget(self, peer: PeerAddress) -> None:
         """Drop the connection to a peer that is gone for good."""
--- a/src/savorystand/transport/pending.py
+++ b/src/savorystand/transport/pending.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from expression import Error
-from expression import Ok
 
+from savorystand.call import Answered
 from savorystand.transport.assembly import BodyAssembly
 from savorystand.transport.conversion import answer_from
 from savorystand.transport.conversion import refusal_from
@@ -111,7 +111,7 @@
         if pending is None:
             return
         if start.last and len(start.body) == start.body_size:
-            pending.finish(Ok(answer_from(start, start.body)))
+            pending.finish(Answered(answer_from(start, start.body)))
             return
         pending.assembly = BodyAssembly(start=start)
         if start.last:
@@ -151,4 +151,4 @@
 
     def _finish(self, pending: PendingCall, assembly: BodyAssembly) -> None:
         answer = answer_from(assembly.start, assembly.whole())
-        pending.finish(Ok(answer))
+        pending.finish(Answered(answer))
--- a/src/savorystand/transport/server.py
+++ b/src/savorystand/transport/server.py
@@ -83,9 +83,9 @@
             for task in self._calls.values():
                 task.cancel()
 
-    def send(self, frame: Message) -> None:
-        """Send a control frame to the peer."""
-        self._writer.send(frame)
+    def send(self, encoded: bytes) -> None:
+        """Send an encoded control frame to the peer."""
+        self._writer.send_encoded(encoded)
 
     def busy(self) -> bool:
         """Return True while calls run or answers wait to be written."""
--- a/src/savorystand/transport/writer.py
+++ b/src/savorystand/transport/writer.py
@@ -46,7 +46,10 @@
         Raises:
             FrameError: the frame is too long.
         """
-        encoded = encode_frame(frame)
+        self.send_encoded(encode_frame(frame))
+
+    def send_encoded(self, encoded: bytes) -> None:
+        """Queue a short frame that is encoded already."""
         if self._try_send is not None and self.idle():
             if self._try_send(encoded):
                 return
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -10,18 +10,18 @@
 import anyio
 
 from savorystand.clock import Clock
-from savorystand.platform.errors import ConditionFailedError
-from savorystand.platform.errors import StoreContentionError
-from savorystand.platform.errors import StoreUnavailableError
-from savorystand.platform.errors import StoreUnknownError
-from savorystand.platform.store import Absent
-from savorystand.platform.store import Unchanged
+from savorystand.store.errors import ConditionFailedError
+from savorystand.store.errors import StoreContentionError
+from savorystand.store.errors import StoreUnavailableError
+from savorystand.store.errors import StoreUnknownError
+from savorystand.store.items import Absent
+from savorystand.store.items import Unchanged
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from savorystand.platform.store import Attributes
-    from savorystand.platform.store import Put
+    from savorystand.store.items import Attributes
+    from savorystand.store.items import Put
 
 _Write: TypeAlias = tuple[tuple['Put', ...], str]
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -31,10 +31,10 @@
 from savorystand.gateway.target_client import TargetClient
 from savorystand.lab.fuzz.play import play
 from savorystand.lab.fuzz.play import run_steps
-from savorystand.platform.store import Absent
-from savorystand.platform.store import Unchanged
 from savorystand.retry.policy import ENTRY_RETRIES
 from savorystand.retry.policy import RetryPolicy
+from savorystand.store.items import Absent
+from savorystand.store.items import Unchanged
 from savorystand.tables.follower import TableFollower
 from savorystand.tables.holder import TableHolder
 from savorystand.tables.repository import TableRepository
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -15,10 +15,10 @@
 from savorystand.platform.configuration import parse_configuration
 from savorystand.platform.connections import ServiceConnections
 from savorystand.platform.connections import ServiceRequest
-from savorystand.platform.errors import HistoryLostError
 from savorystand.platform.row_client import RowClient
 from savorystand.platform.row_client import RowKey
 from savorystand.settings.node import Address
+from savorystand.store.errors import HistoryLostError
 from savorystand.tables.document import TablesDocument
 
 _CONFIG = RowKey(table='op', key='config')
--- a/tests/tables/test_follower.py
+++ b/tests/tables/test_follower.py
@@ -14,7 +14,7 @@
 from savorystand.kernel.kernel import Kernel
 from savorystand.membership.member import Member
 from savorystand.membership.member import MemberState
-from savorystand.platform.errors import StoreUnavailableError
+from savorystand.store.errors import StoreUnavailableError
 from savorystand.tables.document import TablesDocument
 from savorystand.tables.follower import TableFollower
 from savorystand.tables.holder import TableHolder
