--- a/src/savorystand/clock.py
+++ b/src/savorystand/clock.py
@@ -16,6 +16,8 @@
 
 MS_PER_SECOND = 1000
 _NS_PER_MS = 1000000
+# Part of a period by which a timer may be early.
+_EARLY = 0.1
 
 
 class Timer(Protocol):
@@ -49,6 +51,18 @@
         """Suspend the calling task for ``ms`` milliseconds."""
         await anyio.sleep(ms / MS_PER_SECOND)
 
+    async def tick(self, period_ms: float) -> None:
+        """Suspend until a multiple of ``period_ms`` of this clock.
+
+        Duties that are due at the same time cost an idle process one wake-up
+        together.
+        """
+        left_ms = period_ms - self.now() % period_ms
+        if left_ms < period_ms * _EARLY:
+            # A timer fired early: this is the tick that has just passed.
+            left_ms += period_ms
+        await self.sleep(left_ms)
+
     def call_later(self, ms: float, callback: Callable[[], object]) -> Timer:
         """Call ``callback`` in ``ms`` milliseconds, outside of any task.
 
--- a/src/savorystand/dispatch/load_publisher.py
+++ b/src/savorystand/dispatch/load_publisher.py
@@ -45,7 +45,7 @@
         task_status.started()
         admission = self._kernel.find('admission', AdmissionQueue)
         while True:
-            await self._clock.sleep(self._tick_ms)
+            await self._clock.tick(self._tick_ms)
             self._consider(admission.load())
 
     def _consider(self, load: TargetLoad) -> None:
--- a/src/savorystand/gateway/request_protocol.py
+++ b/src/savorystand/gateway/request_protocol.py
@@ -112,7 +112,7 @@
         self._app: RequestHandler = config.app
         self._idle_seconds: float = config.timeout_keep_alive
         self._connections: set[object] = server_state.connections
-        self._loop = _loop or asyncio.get_running_loop()
+        self._loop = _loop or self._app.clock.loop()
         self._parser = HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
--- a/src/savorystand/membership/membership.py
+++ b/src/savorystand/membership/membership.py
@@ -203,7 +203,7 @@
     step: Callable[[], object],
 ) -> None:
     while True:
-        await clock.sleep(period_ms)
+        await clock.tick(period_ms)
         step()
 
 
--- a/src/savorystand/reporting/logs.py
+++ b/src/savorystand/reporting/logs.py
@@ -138,7 +138,7 @@
         """Log once a second how many events were suppressed."""
         task_status.started()
         while True:
-            await self._clock.sleep(MS_PER_SECOND)
+            await self._clock.tick(MS_PER_SECOND)
             self._turn()
 
     async def drain(self) -> None:
--- a/src/savorystand/transport/connection.py
+++ b/src/savorystand/transport/connection.py
@@ -217,7 +217,7 @@
     """
     while True:
         before = clock.now()
-        await clock.sleep(HEARTBEAT_MS)
+        await clock.tick(HEARTBEAT_MS)
         paused = clock.now() - before > SILENCE_MS
         for conn in tuple(connections.values()):
             conn.watch(paused=paused)
