--- a/src/savorystand/console/commands/tables_show.py
+++ b/src/savorystand/console/commands/tables_show.py
@@ -12,15 +12,23 @@
 import click
 
 from savorystand.console.failures import CommandError
+from savorystand.console.options import NodeAddress
 from savorystand.console.output import json_option
 from savorystand.console.output import write_success
 from savorystand.console.platform import open_platform
 from savorystand.console.platform import platform_options
 from savorystand.console.platform import run_command
 from savorystand.console.revisions import fetch_newest
+from savorystand.platform.configuration import StoredConfiguration
+from savorystand.platform.configuration import parse_configuration
+from savorystand.platform.connections import ServiceConnections
+from savorystand.platform.row_client import RowClient
+from savorystand.settings.addresses import parse_address
+from savorystand.tables.document import TablesDocument
+from savorystand.tables.text import pools_text
+from savorystand.tables.text import routes_text
 
 if TYPE_CHECKING:
-    from savorystand.tables.document import TablesDocument
     from savorystand.tables.repository import TableRepository
 
 _CommandT = TypeVar('_CommandT', bound=Callable[..., Any])
@@ -30,6 +38,9 @@
 def _new_files(command: _CommandT) -> _CommandT:
     decorators = (
         click.option('--overwrite', is_flag=True, help='Replace the files.'),
+        click.option(
+            '--revision', type=click.IntRange(min=1), help='Not the newest.'
+        ),
         click.argument('pools', type=_NEW_FILE, required=False),
         click.argument('routes', type=_NEW_FILE, required=False),
     )
@@ -40,7 +51,11 @@
 
 @click.command('show')
 @_new_files
-@click.option('--revision', type=click.IntRange(min=1), help='Not the newest.')
+@click.option(
+    '--store',
+    type=NodeAddress(),
+    help="IP:PORT of the users' platform, whose configuration is shown.",
+)
 @platform_options
 @json_option
 def show(
@@ -48,6 +63,7 @@
     routes: Path | None,
     pools: Path | None,
     revision: int | None,
+    store: str | None,
     overwrite: bool,
     as_json: bool,
     **options: Any,
@@ -55,11 +71,16 @@
     """Show a revision, or write its texts to the files ROUTES and POOLS."""
     if routes is not None and pools is None:
         raise click.UsageError('name both files or none')
-    access = open_platform(**options)
-    document = run_command(
-        lambda: _fetch(access.repository(), revision),
-        as_json=as_json,
-    )
+    if store is None:
+        access = open_platform(**options)
+        document = run_command(
+            lambda: _fetch(access.repository(), revision),
+            as_json=as_json,
+        )
+    elif revision is not None or any(options.values()):
+        raise click.UsageError('--store excludes the other sources')
+    else:
+        document = run_command(lambda: _in_force(store), as_json=as_json)
     if document is None:
         raise CommandError('there is no revision yet', as_json=as_json)
     head = f'revision={document.revision} change_id={document.change_id}'
@@ -81,6 +102,24 @@
     return await repository.fetch(revision)
 
 
+async def _in_force(store: str) -> TablesDocument | None:
+    connections = ServiceConnections(address=parse_address(store), key='')
+    rows = RowClient(connections=connections)
+    try:
+        document, _ = await StoredConfiguration(rows=rows, feed=rows).newest()
+    finally:
+        await connections.close()
+    if document is None:
+        return None
+    tables = parse_configuration(document)
+    return TablesDocument(
+        revision=tables.revision,
+        change_id=tables.change_id,
+        routes=routes_text(tables),
+        pools=pools_text(tables),
+    )
+
+
 def _save(path: Path, text: str, overwrite: bool, *, as_json: bool) -> None:
     mode = 'w' if overwrite else 'x'
     try:
--- /dev/null
+++ b/src/savorystand/tables/text.py
@@ -0,0 +1,66 @@
+"""The two tables as text, wherever their revision came from."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from savorystand.tables.route import Route
+    from savorystand.tables.tables import Tables
+
+
+def routes_text(tables: Tables) -> str:
+    """Return the routes as TOML, without the fields that a route leaves open.
+
+    A route by host has its host in front of the path, and one that is divided
+    among pools has their weights in place of ``pool``.
+    """
+    rows = [_table('route', _route_fields(route)) for route in tables.routes]
+    return '\n'.join(rows)
+
+
+def pools_text(tables: Tables) -> str:
+    """Return the pools as TOML."""
+    rows = []
+    for pool in tables.pools:
+        fields = (
+            ('name', pool.name),
+            ('slots', pool.slots),
+            ('connections', pool.connections),
+        )
+        rows.append(_table('pool', iter(fields)))
+    return '\n'.join(rows)
+
+
+def _route_fields(route: Route) -> Iterator[tuple[str, object]]:
+    yield 'name', route.name
+    yield 'match', f'{route.method} {route.host}{route.path}'.strip()
+    if route.splits:
+        yield 'splits', {share.pool: share.weight for share in route.splits}
+    else:
+        yield 'pool', route.pool
+    yield 'importance', route.importance.name.lower()
+    yield 'idempotent', route.idempotent
+    for name in ('limit_ms', 'objective_ms', 'max_targets'):
+        bound = getattr(route, name)
+        if bound:
+            yield name, bound
+
+
+def _table(name: str, fields: Iterator[tuple[str, object]]) -> str:
+    lines = [f'[[{name}]]']
+    lines += [f'{key} = {_toml(field)}' for key, field in fields]
+    lines.append('')
+    return '\n'.join(lines)
+
+
+def _toml(field: object) -> str:
+    # Texts, numbers and truth values are written as in JSON.
+    if isinstance(field, dict):
+        pairs = [f'{_toml(key)} = {_toml(one)}' for key, one in field.items()]
+        listed = ', '.join(pairs)
+        return f'{{ {listed} }}'
+    return json.dumps(field, ensure_ascii=False)
