Begin no request behind the last answer of a connection

Cause: found in the read-through. After an answer that closes, a request of the same connection that had arrived already was begun and cancelled. An Expect header in capitals was not answered, and a client that took no answers held its connection.

Change: waiting requests are dropped with the connection; tests for both.

--- a/src/savorystand/gateway/request_protocol.py
+++ b/src/savorystand/gateway/request_protocol.py
@@ -44,7 +44,10 @@
 # Whole requests of one connection that wait for the one before them.
 _MAX_WAITING = 16
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
-_BAD_REQUEST = b'HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n'
+_BAD_REQUEST = (
+    b'HTTP/1.1 400 Bad Request\r\n'
+    b'connection: close\r\ncontent-length: 0\r\n\r\n'
+)
 _FAILED = (
     b'HTTP/1.1 500 Internal Server Error\r\n'
     b'connection: close\r\ncontent-length: 0\r\n\r\n'
@@ -79,10 +82,10 @@
     """One connection of a caller; a task for each of its requests."""
 
     __slots__ = (
+        '_app',
         '_body',
         '_connections',
         '_ends',
-        '_app',
         '_headers',
         '_idle_seconds',
         '_in_head',
@@ -198,7 +201,7 @@
             self._refuse(_too_large(f'path of {len(self._url)} bytes'))
         elif size > MAX_HEADER_BYTES or len(self._headers) > MAX_HEADERS:
             self._refuse(_too_large(f'head of {size} bytes or more'))
-        elif ('expect', '100-continue') in self._headers and self._transport:
+        elif self._expects() and self._transport:
             self._transport.write(_CONTINUE)
 
     def on_body(self, body: bytes) -> None:
@@ -233,13 +236,14 @@
 
     def expire(self) -> None:
         """End the connection if its client takes too long to send."""
-        if self._task is not None or self._waiting:
+        if self._task is not None:
             return
         bound = self._idle_seconds
-        if self._in_head and (self._unparsed or not self._served):
-            bound = HEAD_SECONDS
-        elif not self._in_head:
+        if not self._in_head or self._waiting:
+            # Or to take the answers before the requests that wait.
             bound = BODY_IDLE_SECONDS
+        elif self._unparsed or not self._served:
+            bound = HEAD_SECONDS
         if self._loop.time() - self._since > bound:
             self._abort()
 
@@ -258,6 +262,10 @@
         self._body: list[bytes] = []
         self._received_ms = float(0)
 
+    def _expects(self) -> bool:
+        texts = [text for name, text in self._headers if name == 'expect']
+        return bool(texts) and texts[0].lower() == '100-continue'
+
     def _forget_body(self) -> None:
         self._app.unfinished -= self._size
         self._size = 0
@@ -337,6 +345,8 @@
         self._end()
 
     def _end(self) -> None:
+        # Requests that nobody will get an answer to are not begun.
+        self._waiting.clear()
         if self._transport is not None:
             self._transport.close()
 
--- a/tests/gateway/test_request_protocol.py
+++ b/tests/gateway/test_request_protocol.py
@@ -128,6 +128,40 @@
     assert reply.count(b'connection: close\r\n') == 1
 
 
+async def test_nothing_runs_after_the_last_answer() -> None:
+    """A request behind one that closes must not run without an answer."""
+    async with _running() as node:
+        node.app.go.clear()
+        reader, writer = await node.connect()
+        writer.write(b''.join((_POST % 2, b'ok')))
+        await _until(node, 'started', 1)
+        writer.write(b''.join((_POST % 2, b'no')))
+        await asyncio.sleep(0.01)
+        node.app.closing = True
+        node.app.go.set()
+        reply = await asyncio.wait_for(reader.read(), 30)
+        writer.close()
+    assert reply.count(b'HTTP/1.1 200') == 1
+    assert node.app.started == 1
+
+
+async def test_client_that_waits_to_send_is_told_to() -> None:
+    """An upload that expects the answer 100 would never arrive."""
+    head = (
+        b'POST /e HTTP/1.1\r\nHost: x\r\nExpect: 100-Continue\r\n'
+        b'Connection: close\r\nContent-Length: 4\r\n\r\n'
+    )
+    async with _running() as node:
+        reader, writer = await node.connect()
+        writer.write(head)
+        assert await reader.readline() == b'HTTP/1.1 100 Continue\r\n'
+        assert await reader.readline() == b'\r\n'
+        writer.write(b'body')
+        reply = await asyncio.wait_for(reader.read(), 30)
+        writer.close()
+    assert reply.endswith(b'POST /e body')
+
+
 async def test_body_in_parts_is_put_together() -> None:
     """A part that is lost or counted twice changes what the target gets."""
     head = (
