--- a/src/savorystand/membership/rendezvous.py
+++ b/src/savorystand/membership/rendezvous.py
@@ -89,7 +89,8 @@
                 pause_ms = self._random.uniform(_LEAST_PAUSE_MS, _MOST_PAUSE_MS)
                 await self._clock.sleep(pause_ms)
                 continue
-            self._note('regained', f'{found} addresses')
+            state = 'regained' if failed else 'reached'
+            self._note(state, f'{found} addresses')
             return
 
     async def _meet(self) -> int:
--- a/src/savorystand/reporting/events.py
+++ b/src/savorystand/reporting/events.py
@@ -53,7 +53,7 @@
 
 
 def dependency_changed(dependency: str, state: str, detail: str) -> Event:
-    """Return the event of a dependency that was lost or regained."""
+    """Return the event of a dependency that was reached, lost or regained."""
     return Event(
         name=EventName.DEPENDENCY_CHANGED,
         level=Level.WARNING if state == 'lost' else Level.NOTICE,
