--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -18,6 +18,7 @@
 
 import pytest
 from expression import Error
+from expression import Result
 
 from savorystand.admission.closing import Closing
 from savorystand.deduplication import claim_batch
@@ -40,6 +41,7 @@
 from savorystand.tables.repository import TableRepository
 from savorystand.tables.repository import _head_put
 from savorystand.tables.repository import _revision_put
+from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 
@@ -62,16 +64,16 @@
     patches: tuple[tuple[Any, str, Any], ...]
 
 
-async def _written_late(
-    self: Any, call: Any, execution_id: str, progress: Any
-) -> Any:
-    conn = await self._take()
-    try:
-        answer = await conn.exchange(self._encode(call, execution_id))
-        progress.written = True
-    finally:
-        await self._give_back(conn)
-    return answer
+_send = TargetClient.send
+
+
+async def _written_late(self: Any, call: Any, execution_id: str) -> Any:
+    outcome = await _send(self, call, execution_id)
+    match outcome:
+        case Result(tag='error', error=MayHaveRun(reason=reason)):
+            return Error(NotRun(reason=reason))
+        case _:
+            return outcome
 
 
 def _retry_below(
@@ -142,8 +144,8 @@
     ),
     Mutation(
         'truthful verdict: point of no return after the write',
-        'tests/dispatch',
-        ((TargetClient, '_exchange', _written_late),),
+        'tests/gateway',
+        ((TargetClient, 'send', _written_late),),
     ),
     Mutation(
         'truthful verdict: unknown keys are denied',
