--- /dev/null
+++ b/tests/retry/test_executions.py
@@ -0,0 +1,71 @@
+"""Failure: a call is taken for that of another execution."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from savorystand.call import CallContext
+from savorystand.call import Importance
+from savorystand.retry.executions import ExecutionLedger
+
+_TOLERANCE_MS = 4
+_ROUTES = ('a', 'b')
+
+
+def _context(deadline_ms: int, importance: Importance) -> CallContext:
+    return CallContext(
+        request_id='r',
+        execution_id='',
+        deadline_ms=deadline_ms,
+        retries_left=0,
+        importance=importance,
+    )
+
+
+@settings(max_examples=200, derandomize=True)
+@given(
+    opened=st.lists(
+        st.tuples(
+            st.integers(0, 20),
+            st.sampled_from(Importance),
+            st.sampled_from(_ROUTES),
+            st.booleans(),
+        ),
+        max_size=12,
+    ),
+    wanted=st.integers(0, 20),
+)
+def test_nearest_and_usual_agree_with_a_search(
+    opened: list[tuple[int, Importance, str, bool]], wanted: int
+) -> None:
+    """Closed executions are gone, and equal deadlines are kept apart."""
+    ledger = ExecutionLedger()
+    running = []
+    closed = []
+    for deadline_ms, importance, route, ends in opened:
+        execution = ledger.open(_context(deadline_ms, importance), route)
+        (closed if ends else running).append(execution)
+    for execution in (*closed, *closed):
+        ledger.close(execution)
+    gaps = [abs(one.context.deadline_ms - wanted) for one in running]
+    nearest = ledger.nearest(wanted, _TOLERANCE_MS)
+    if min(gaps, default=_TOLERANCE_MS) >= _TOLERANCE_MS:
+        assert nearest is None
+    else:
+        assert nearest in running
+        assert abs(nearest.context.deadline_ms - wanted) == min(gaps)
+    for route in _ROUTES:
+        ranks = Counter(
+            one.context.importance for one in running if one.route == route
+        )
+        usual = ledger.usual_importance(route)
+        assert (usual is None) == (not ranks)
+        assert usual is None or ranks[usual] == max(ranks.values())
+    for execution in running:
+        ledger.close(execution)
+    assert ledger.nearest(wanted, _TOLERANCE_MS) is None
+    assert len(ledger) == 0
