--- /dev/null
+++ b/tests/platform/test_worker_notices.py
@@ -0,0 +1,209 @@
+"""Guards against work for a worker that has asked for less or said goodbye.
+
+Each test runs a whole node beside a worker that names a rate limit or says
+that it leaves in its responses, in front of the same node's callers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import pytest
+
+from savorystand.clock import ManualClock
+from savorystand.dispatch.announcements import Announcement
+from savorystand.dispatch.announcements import Announcements
+from savorystand.dispatch.inbound import Inbound
+from savorystand.node import sidecar
+from savorystand.platform.settings import PlatformSettings
+from savorystand.settings.addresses import Address
+from savorystand.settings.node import NodeSettings
+from savorystand.tables.holder import TablesHolder
+from savorystand.tables.pool import Pool
+from savorystand.tables.tables import Tables
+from savorystand.verdict import NotRun
+from tests.policy_doubles import make_call
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from savorystand.call import Outcome
+    from savorystand.kernel.kernel import Kernel
+
+pytestmark = pytest.mark.anyio
+_DRAIN_MS = 2500
+_WINDOW_MS = 4000
+_STEP_MS = 50
+_END_OF_HEAD = b'\r\n\r\n'
+_READY = Announcement(
+    instance='i-1',
+    started_ms=1000,
+    sequence=1,
+    pool='refill',
+    slots=100,
+    leaving=False,
+)
+
+
+@dataclass(kw_only=True)
+class _Worker:
+    """Answers each request with ``extra_headers`` and counts them."""
+
+    extra_headers: list[str] = field(default_factory=list)
+    requests: int = 0
+    port: int = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            try:
+                head = await reader.readuntil(_END_OF_HEAD)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                writer.close()
+                return
+            self.requests += 1
+            lines = [
+                'HTTP/1.1 200 OK',
+                f'Request-Id: {_request_id(head)}',
+                'Content-Length: 0',
+                *self.extra_headers,
+            ]
+            writer.write('\r\n'.join([*lines, '', '']).encode())
+
+
+@dataclass(kw_only=True)
+class _Node:
+    kernel: Kernel
+    clock: ManualClock
+    _sent: int = 0
+
+    async def call(self) -> Outcome:
+        self._sent += 1
+        call = make_call(deadline_ms=self.clock.now() + _WINDOW_MS)
+        context = replace(call.context, request_id=f'r-{self._sent}')
+        sent = replace(
+            call,
+            context=context,
+            headers=(('request-id', context.request_id),),
+        )
+        return await self.kernel.find('inbound', Inbound).serve(sent)
+
+    async def call_often(self, *, span_ms: int, per_step: int) -> list[Outcome]:
+        """Make ``per_step`` calls at once, every 50 ms of the clock."""
+        outcomes: list[Outcome] = []
+        for _ in range(span_ms // _STEP_MS):
+            self.clock.advance(_STEP_MS)
+            outcomes += await asyncio.gather(
+                *(self.call() for _ in range(per_step))
+            )
+        return outcomes
+
+
+def _request_id(head: bytes) -> str:
+    for line in head.decode().split('\r\n'):
+        name, _, text = line.partition(': ')
+        if name.lower() == 'request-id':
+            return text
+    return ''
+
+
+def _settings(port: int) -> PlatformSettings:
+    local = Address(host='127.0.0.1', port=port)
+    return PlatformSettings(
+        node=NodeSettings(
+            failure_domain='d',
+            region='r',
+            callers=local,
+            local=local,
+            peers=local,
+            target=local,
+            seeds=(),
+            table_service='',
+            object_store='',
+            platform_key='',
+            admin_key='',
+        ),
+        readiness=local,
+        announcements=local,
+        store=local,
+        service='refill',
+        drain_ms=_DRAIN_MS,
+        grace_ms=6000,
+        retry_fraction=0.2,
+        retry_slack=48,
+    )
+
+
+def start_node(port: int, monkeypatch: pytest.MonkeyPatch) -> _Node:
+    """Return a node whose worker at ``port`` has announced itself."""
+    monkeypatch.setattr(sidecar, 'Clock', ManualClock)
+    kernel = sidecar.build_sidecar(_settings(port), node_id='a' * 16)
+    pool = Pool(name='refill', slots=100, connections=100)
+    kernel.find('tables', TablesHolder).install(
+        Tables(revision=1, change_id='', routes=(), pools=(pool,))
+    )
+    kernel.find('announcements', Announcements).accept(_READY)
+    return _Node(kernel=kernel, clock=kernel.find('clock', ManualClock))
+
+
+@asynccontextmanager
+async def _started(
+    monkeypatch: pytest.MonkeyPatch, *extra_headers: str
+) -> AsyncIterator[tuple[_Node, _Worker]]:
+    worker = _Worker(extra_headers=list(extra_headers))
+    server = await asyncio.start_server(worker.serve, '127.0.0.1', 0)
+    async with server:
+        worker.port = server.sockets[0].getsockname()[1]
+        yield start_node(worker.port, monkeypatch), worker
+
+
+@pytest.mark.parametrize('per_second', [12.5, 43])
+async def test_worker_gets_no_more_than_the_rate_it_names(
+    monkeypatch: pytest.MonkeyPatch, per_second: float
+) -> None:
+    """A worker that names a rate limit must not get more than it asks for.
+
+    One second of calls may exceed the limit by a small burst.
+    """
+    header = f'Server-Limit: {per_second}'
+    async with _started(monkeypatch, header) as (node, worker):
+        await node.call_often(span_ms=1000, per_step=4)
+        worker.requests = 0
+        outcomes = await node.call_often(span_ms=_WINDOW_MS, per_step=8)
+        allowed = per_second * _WINDOW_MS / 1000
+        assert allowed * 0.9 <= worker.requests <= allowed + per_second / 2
+        refused = [one.error for one in outcomes if one.is_error()]
+        assert len(refused) == len(outcomes) - worker.requests
+        assert all(isinstance(refusal, NotRun) for refusal in refused)
+        assert all(refusal.retry_after_ms > 0 for refusal in refused)
+
+
+async def test_leaving_worker_gets_no_work_whatever_is_announced(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A worker that says in a response that it leaves gets no work later.
+
+    Announcements that say otherwise may have been sent before the response.
+    """
+    async with _started(monkeypatch) as (node, worker):
+        assert (await node.call()).is_ok()
+        worker.extra_headers.append('Server-Leaving: 1')
+        assert (await node.call()).is_ok()
+        announcements = node.kernel.find('announcements', Announcements)
+        announcements.accept(replace(_READY, sequence=2))
+        node.clock.advance(_DRAIN_MS)
+        announcements.accept(replace(_READY, sequence=3))
+        worker.requests = 0
+        outcomes = await node.call_often(span_ms=200, per_step=2)
+        assert worker.requests == 0
+        assert all(isinstance(one.error, NotRun) for one in outcomes)
+        restarted = replace(_READY, started_ms=2000, sequence=1)
+        announcements.accept(restarted)
+        worker.extra_headers.clear()
+        assert (await node.call()).is_ok()
