--- a/src/savorystand/console/commands/tables_show.py
+++ b/src/savorystand/console/commands/tables_show.py
@@ -21,9 +21,9 @@
 from savorystand.console.revisions import fetch_newest
 from savorystand.platform.configuration import StoredConfiguration
 from savorystand.platform.configuration import parse_configuration
-from savorystand.platform.connections import ServiceConnections
 from savorystand.platform.row_client import RowClient
 from savorystand.settings.addresses import parse_address
+from savorystand.store.connections import ServiceConnections
 from savorystand.tables.document import TablesDocument
 from savorystand.tables.text import pools_text
 from savorystand.tables.text import routes_text
--- a/src/savorystand/console/platform.py
+++ b/src/savorystand/console/platform.py
@@ -16,13 +16,13 @@
 from savorystand.console.errors import CommandError
 from savorystand.console.errors import PlatformUnreachableError
 from savorystand.console.errors import UnknownOutcomeError
-from savorystand.platform.connections import ServiceConnections
 from savorystand.platform.object_store import ObjectStore
 from savorystand.platform.table_store import TableStore
 from savorystand.settings.addresses import AddressError
 from savorystand.settings.addresses import parse_service_url
 from savorystand.settings.errors import SettingsError
 from savorystand.settings.loader import load_settings
+from savorystand.store.connections import ServiceConnections
 from savorystand.store.errors import StoreError
 from savorystand.store.errors import StoreUnavailableError
 from savorystand.tables.edits import EditConflictError
--- a/src/savorystand/lab/deployments/publishing.py
+++ b/src/savorystand/lab/deployments/publishing.py
@@ -11,8 +11,8 @@
 from savorystand.lab.deployments.processes import ClusterError
 from savorystand.lab.deployments.settings_file import PLATFORM_KEY
 from savorystand.lab.http_client import send_json
-from savorystand.platform.connections import ServiceConnections
 from savorystand.platform.table_store import TableStore
+from savorystand.store.connections import ServiceConnections
 from savorystand.store.errors import StoreError
 from savorystand.tables.editor import TablesEditor
 from savorystand.tables.edits import EditConflictError
--- a/src/savorystand/node/platform.py
+++ b/src/savorystand/node/platform.py
@@ -6,10 +6,10 @@
 
 from savorystand.clock import Clock
 from savorystand.deduplication.table_claims import TableClaims
-from savorystand.platform.connections import ServiceConnections
 from savorystand.platform.object_store import ObjectStore
 from savorystand.platform.table_store import TableStore
 from savorystand.settings.addresses import parse_service_url
+from savorystand.store.connections import ServiceConnections
 from savorystand.tables.follower import TablesFollower
 from savorystand.tables.parser import parse_tables
 from savorystand.tables.repository import TablesRepository
--- a/src/savorystand/node/sidecar.py
+++ b/src/savorystand/node/sidecar.py
@@ -24,8 +24,6 @@
 from savorystand.platform.configuration import StoredConfiguration
 from savorystand.platform.configuration import feed_timeout_ms
 from savorystand.platform.configuration import parse_configuration
-from savorystand.platform.connections import OPERATION_TIMEOUT_MS
-from savorystand.platform.connections import ServiceConnections
 from savorystand.platform.control import ControlEndpoints
 from savorystand.platform.ingress import Ingress
 from savorystand.platform.node_registry import StoredNodeRegistry
@@ -35,6 +33,8 @@
 from savorystand.reporting.logs import EventLog
 from savorystand.retry.budget import BudgetLimits
 from savorystand.retry.policy import RetryPolicy
+from savorystand.store.connections import OPERATION_TIMEOUT_MS
+from savorystand.store.connections import ServiceConnections
 from savorystand.tables.follower import TablesFollower
 from savorystand.transport.direct import DirectNetwork
 
--- a/src/savorystand/platform/object_store.py
+++ b/src/savorystand/platform/object_store.py
@@ -5,14 +5,14 @@
 from typing import TYPE_CHECKING
 from urllib.parse import quote
 
-from savorystand.platform.connections import ServiceConnections
-from savorystand.platform.connections import ServiceRequest
 from savorystand.platform.row_client import check_status
+from savorystand.store.connections import ServiceConnections
+from savorystand.store.connections import ServiceRequest
 from savorystand.store.errors import StoreUnavailableError
 from savorystand.store.errors import StoreUnknownError
 
 if TYPE_CHECKING:
-    from savorystand.platform.connections import ServiceResponse
+    from savorystand.store.connections import ServiceResponse
 
 _OK = 200
 _NOT_FOUND = 404
--- a/src/savorystand/platform/row_client.py
+++ b/src/savorystand/platform/row_client.py
@@ -10,8 +10,8 @@
 from typing import final
 from urllib.parse import urlencode
 
-from savorystand.platform.connections import ServiceConnections
-from savorystand.platform.connections import ServiceRequest
+from savorystand.store.connections import ServiceConnections
+from savorystand.store.connections import ServiceRequest
 from savorystand.store.errors import HistoryLostError
 from savorystand.store.errors import StoreError
 from savorystand.store.errors import StoreUnavailableError
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from savorystand.platform.connections import ServiceResponse
+    from savorystand.store.connections import ServiceResponse
 
 _OK = 200
 _GONE = 410
--- a/src/savorystand/platform/table_store.py
+++ b/src/savorystand/platform/table_store.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from savorystand.platform.connections import ServiceConnections
+    from savorystand.store.connections import ServiceConnections
     from savorystand.store.items import Attributes
     from savorystand.store.items import Put
 
--- a/src/savorystand/store/__init__.py
+++ b/src/savorystand/store/__init__.py
@@ -1,1 +1,1 @@
-"""Storage interfaces and errors, independent of the platform's protocol."""
+"""Storage interfaces, errors and connections, whatever the protocol."""
--- a/src/savorystand/platform/connections.py
+++ b/src/savorystand/store/connections.py
@@ -1,4 +1,4 @@
-"""Pooled HTTP connections to one service of the platform."""
+"""Pooled HTTP connections to one storage service."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
 @final
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ServiceRequest:
-    """One HTTP request to a service of the platform."""
+    """One HTTP request to a storage service."""
 
     method: str
     path: str
@@ -51,7 +51,7 @@
 @final
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ServiceResponse:
-    """A complete HTTP response of a service of the platform."""
+    """A complete HTTP response of a storage service."""
 
     status: int
     body: bytes
--- a/tests/console/commands/test_tables_show.py
+++ b/tests/console/commands/test_tables_show.py
@@ -16,10 +16,10 @@
 from savorystand.console.application import savorystand
 from savorystand.lab.platform.application import platform_app
 from savorystand.lab.platform.listener import PlatformListener
-from savorystand.platform.connections import ServiceConnections
 from savorystand.platform.row_client import RowClient
 from savorystand.platform.row_client import RowKey
 from savorystand.settings.node import Address
+from savorystand.store.connections import ServiceConnections
 
 _CONFIGURATION = {  # noqa: WPS407
     'version': '0000000c',
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -17,11 +17,11 @@
 from savorystand.lab.platform.listener import PlatformListener
 from savorystand.platform.configuration import StoredConfiguration
 from savorystand.platform.configuration import parse_configuration
-from savorystand.platform.connections import ServiceConnections
-from savorystand.platform.connections import ServiceRequest
 from savorystand.platform.row_client import RowClient
 from savorystand.platform.row_client import RowKey
 from savorystand.settings.node import Address
+from savorystand.store.connections import ServiceConnections
+from savorystand.store.connections import ServiceRequest
 from savorystand.store.errors import HistoryLostError
 from savorystand.tables.document import TablesDocument
 
--- a/tests/platform/test_store_clients.py
+++ b/tests/platform/test_store_clients.py
@@ -16,11 +16,11 @@
 from savorystand.clock import Clock
 from savorystand.lab.platform.application import platform_app
 from savorystand.lab.platform.listener import PlatformListener
-from savorystand.platform.connections import ServiceConnections
-from savorystand.platform.connections import ServiceRequest
 from savorystand.platform.object_store import ObjectStore
 from savorystand.platform.table_store import TableStore
 from savorystand.settings.node import Address
+from savorystand.store.connections import ServiceConnections
+from savorystand.store.connections import ServiceRequest
 from savorystand.store.errors import ConditionFailedError
 from savorystand.store.errors import StoreError
 from savorystand.store.errors import StoreUnavailableError
