Log what a target says about itself and how its rate limit is used

Cause: the logs could not tell whether calls above a rate limit are repeats, come from one node, or come from all because no decision reads the limit. Change: the adapter decodes the rate limit and the departure in a response as soon as its headers are complete; target notices apply them to the local pool and to a rate limit, which logs its changes and its use each second. Nothing is refused because of the limit yet. A departure said in a response takes the target out of its pool for good, whatever it announces later.

--- a/src/savorystand/call.py
+++ b/src/savorystand/call.py
@@ -21,6 +21,8 @@
 
 if TYPE_CHECKING:
     from savorystand.tables.route import Route
+    from savorystand.target_notice import Incarnation
+    from savorystand.target_notice import TargetHint
 
 Headers: TypeAlias = tuple[tuple[str, str], ...]
 
@@ -64,7 +66,8 @@
     the caller gives none. A node without a record of the key can report that
     the request has not run only if this is declared as the first attempt.
     ``parent_route`` is the route of the execution that made the call, if the
-    local node knows it; it is not sent to other nodes.
+    local node knows it; it is not sent to other nodes. ``hint`` tells a node
+    that has restarted what the caller remembers of its target.
     """
 
     context: CallContext
@@ -77,6 +80,7 @@
     to_home: bool = False
     attempt: int = 0
     parent_route: str = ''
+    hint: TargetHint | None = None
 
     @property
     def is_first_attempt(self) -> bool:
@@ -121,7 +125,9 @@
     present. ``expected_ms`` is the expected queueing plus service time of a
     new call. ``slow`` is True if the target is much slower than usual. Calls
     of a rank below ``pressed_rank`` are refused or delayed, at this target or
-    at one downstream on the route of the answered call.
+    at one downstream on the route of the answered call. ``rate_limit`` is the
+    number of calls a second that the target takes from all nodes, None without
+    such a limit. ``leaving`` is set once the target leaves.
     """
 
     in_flight: int = 0
@@ -131,6 +137,8 @@
     expected_ms: int = 0
     slow: bool = False
     pressed_rank: int = 0
+    rate_limit: float | None = None
+    leaving: Incarnation | None = None
 
 
 @final
--- a/src/savorystand/dispatch/announcements.py
+++ b/src/savorystand/dispatch/announcements.py
@@ -9,6 +9,7 @@
 from savorystand.dispatch.local_pool import LocalPool
 from savorystand.reporting.events import target_changed
 from savorystand.reporting.logs import EventLog
+from savorystand.target_notice import Incarnation
 
 if TYPE_CHECKING:
     from savorystand.kernel.kernel import Kernel
@@ -88,7 +89,7 @@
             local_pool.announce(
                 announcement.pool,
                 slots=announcement.slots,
-                instance=announcement.instance,
+                incarnation=_incarnation(announcement),
             )
         if last is None or _announced_state(last) != _announced_state(
             announcement
@@ -104,8 +105,10 @@
             )
 
 
-def _incarnation(announcement: Announcement) -> tuple[str, int]:
-    return announcement.instance, announcement.started_ms
+def _incarnation(announcement: Announcement) -> Incarnation:
+    return Incarnation(
+        instance=announcement.instance, started_ms=announcement.started_ms
+    )
 
 
 def _announced_state(announcement: Announcement) -> tuple[object, ...]:
--- a/src/savorystand/dispatch/inbound.py
+++ b/src/savorystand/dispatch/inbound.py
@@ -10,6 +10,7 @@
 
 from savorystand.admission.queue import AdmissionQueue
 from savorystand.admission.queue import Permit
+from savorystand.admission.rate_limit import RateLimit
 from savorystand.call import Importance
 from savorystand.clock import Clock
 from savorystand.dispatch.keyed import KeyedCalls
@@ -49,6 +50,7 @@
         '_load_read_ms',
         '_observer',
         '_local_pool',
+        '_rate_limit',
     )
 
     def __init__(self, *, kernel: Kernel, any_route: bool = False) -> None:
@@ -64,6 +66,7 @@
             'downstream overload', DownstreamOverload
         )
         self._admission = kernel.find('admission', AdmissionQueue)
+        self._rate_limit = kernel.find('rate limit', RateLimit)
         self._executions = kernel.find('executions', ExecutionRegistry)
         self._clock = kernel.find('clock', Clock)
         self._observer = find_observer(kernel)
@@ -119,6 +122,7 @@
 
     async def _run(self, call: Call, permit: Permit) -> Outcome:
         target = self._kernel.find('target', TargetSender)
+        self._rate_limit.record_start(call)
         execution = self._executions.open(call.context, call.route.name)
         answered = False
         refused = False
--- a/src/savorystand/dispatch/local_pool.py
+++ b/src/savorystand/dispatch/local_pool.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 from savorystand.admission.queue import AdmissionQueue
+from savorystand.admission.rate_limit import RateLimit
 from savorystand.membership.directory import MemberDirectory
 from savorystand.tables.holder import TablesHolder
+from savorystand.target_notice import Incarnation
 
 if TYPE_CHECKING:
     from savorystand.kernel.kernel import Kernel
@@ -18,6 +21,10 @@
 # Time for peers to stop sending calls. New work is refused afterwards, so that
 # a lost leave message has no lasting effect.
 LEAVE_DELAY_MS = 3000
+# Incarnations that have said that they leave; a late announcement can only be
+# that of a recent one.
+_MAX_LEFT = 16
+_UNANNOUNCED = Incarnation(instance='', started_ms=0)
 
 
 class LocalPool:
@@ -27,10 +34,12 @@
         '_failures',
         '_kernel',
         '_leave_delay_ms',
+        '_left',
         '_pool',
         '_serving',
         '_slots',
-        'instance',
+        'incarnation',
+        'leaving',
     )
 
     def __init__(
@@ -47,8 +56,11 @@
         self._serving = False
         self._failures = 0
         self._slots = 0
-        # Instance name of the target, empty if it announces none.
-        self.instance = ''
+        # The instance id is empty if the target announces none.
+        self.incarnation = _UNANNOUNCED
+        # Set from the time at which the announced incarnation leaves.
+        self.leaving: Incarnation | None = None
+        self._left: deque[Incarnation] = deque(maxlen=_MAX_LEFT)
         # Peers may still route to an earlier process at this address, whose
         # target has left since.
         kernel.find('admission', AdmissionQueue).close_to_new_work()
@@ -59,41 +71,74 @@
         return not self._pool or pool == self._pool
 
     def announce(
-        self, pool: str, *, slots: int = 0, instance: str = ''
+        self,
+        pool: str,
+        *,
+        slots: int = 0,
+        incarnation: Incarnation = _UNANNOUNCED,
     ) -> None:
         """Record that the target serves ``pool``.
 
-        It receives calls once the current tables have a row for the pool.
-        ``slots``, unless 0, overrides the number of slots in that row.
+        It receives calls once the current tables have a row for the pool,
+        unless this incarnation has said that it leaves. ``slots``, unless 0,
+        overrides the number of slots in that row.
         """
-        known = (self._pool, self._slots, self.instance)
-        if self._serving and known == (pool, slots, instance):
+        known = (self._pool, self._slots, self.incarnation)
+        if self._serving and known == (pool, slots, incarnation):
+            return
+        if incarnation != self.incarnation:
+            self._kernel.find('rate limit', RateLimit).forget()
+        self.incarnation = incarnation
+        if incarnation in self._left:
             return
         self._pool = pool
         self._slots = slots
-        self.instance = instance
+        self.leaving = None
         self._serving = False
         self._apply_tables(self._kernel.find('tables', TablesHolder).current())
 
     def leave(self) -> None:
         """Leave the pool and refuse new work after the leave delay."""
-        if self._serving:
-            self._kernel.find('membership', MemberDirectory).leave()
-            admission = self._kernel.find('admission', AdmissionQueue)
-            admission.drain_after(self._leave_delay_ms)
-        self._serving = False
-        self._pool = ''
+        if self.incarnation.instance:
+            self.leaving = self.incarnation
+        self._stop_serving()
+
+    def mark_left(
+        self, incarnation: Incarnation, *, at_once: bool = False
+    ) -> bool:
+        """Record that an incarnation leaves, whatever it announces later.
+
+        With ``at_once`` the leave delay has passed already, before this node
+        started. Return False if it is already recorded.
+        """
+        if incarnation in self._left:
+            return False
+        self._left.append(incarnation)
+        if incarnation == self.incarnation:
+            self.leave()
+            if at_once:
+                admission = self._kernel.find('admission', AdmissionQueue)
+                admission.close_to_new_work()
+        return True
 
     def record_unreachable(self) -> None:
         """Record a failed connection; leave the pool after several in a row."""
         self._failures += 1
         if self._failures >= _MAX_CONNECTION_FAILURES:
-            self.leave()
+            self._stop_serving()
 
     def record_reached(self) -> None:
         """Reset the count of failed connections."""
         self._failures = 0
 
+    def _stop_serving(self) -> None:
+        if self._serving:
+            self._kernel.find('membership', MemberDirectory).leave()
+            admission = self._kernel.find('admission', AdmissionQueue)
+            admission.drain_after(self._leave_delay_ms)
+        self._serving = False
+        self._pool = ''
+
     def _apply_tables(self, tables: Tables) -> None:
         row = tables.pool(self._pool)
         if row is None:
--- a/src/savorystand/gateway/http_connection.py
+++ b/src/savorystand/gateway/http_connection.py
@@ -33,6 +33,8 @@
 # Function that returns True if headers are those of the response to the request
 # in progress.
 ResponseMatcher: TypeAlias = Callable[['Headers'], bool]
+# Function that gets the status and headers of each final response.
+HeadObserver: TypeAlias = Callable[[int, 'Headers'], None]
 
 _MAX_HEADER_BYTES = 65536
 _MIN_FINAL_STATUS = 200
@@ -56,6 +58,7 @@
     __slots__ = (
         '_body_size',
         '_matcher',
+        '_on_head',
         '_parser',
         '_unparsed_bytes',
         'body_parts',
@@ -67,8 +70,11 @@
         'status',
     )
 
-    def __init__(self, matcher: ResponseMatcher | None) -> None:
+    def __init__(
+        self, matcher: ResponseMatcher | None, on_head: HeadObserver | None
+    ) -> None:
         self._matcher = matcher
+        self._on_head = on_head
         self._parser = HttpResponseParser(self)
         self._body_size = 0
         # Bytes received since the parser completed the headers or passed on a
@@ -119,6 +125,8 @@
         self.status = self._parser.get_status_code()
         self.headers_complete = True
         self._unparsed_bytes = 0
+        if self._on_head is not None and self.status >= _MIN_FINAL_STATUS:
+            self._on_head(self.status, tuple(self.headers))
 
     def on_body(self, body: bytes) -> None:
         if self.complete:
@@ -212,12 +220,14 @@
         request: bytes,
         remaining_ms: float,
         matcher: ResponseMatcher | None = None,
+        on_head: HeadObserver | None = None,
     ) -> Response:
         """Send an encoded request and return the complete response.
 
         With ``matcher`` responses to other requests are discarded. Without it
         a second response is an error if it arrives together with the first,
-        because either could belong to the request.
+        because either could belong to the request. ``on_head`` is called as
+        soon as the headers of a response are complete.
 
         Raises:
             TargetProtocolError: the connection is closed, or the response is
@@ -228,7 +238,7 @@
         if self._transport is None or not self._reusable:
             raise TargetProtocolError('connection to the target is closed')
         self._reusable = False
-        reader = _ResponseReader(matcher)
+        reader = _ResponseReader(matcher, on_head)
         done = self._clock.loop().create_future()
         self._reader = reader
         self._done = done
--- a/src/savorystand/gateway/target_adapter.py
+++ b/src/savorystand/gateway/target_adapter.py
@@ -19,6 +19,7 @@
     from savorystand.call import Headers
     from savorystand.call import Outcome
     from savorystand.call import Response
+    from savorystand.gateway.http_connection import HeadObserver
     from savorystand.gateway.http_connection import ResponseMatcher
 
 # Statuses of gateways and unavailable services (RFC 9110, sections 15.6.3 to
@@ -47,6 +48,13 @@
         fails with ``MayHaveRun``.
         """
 
+    def head_observer(self, call: Call) -> HeadObserver | None:
+        """Return a function to call with the head of each final response.
+
+        It is called before the body arrives, also for responses to other
+        requests. None if responses carry no notices of the target.
+        """
+
     def outcome_of(self, response: Response) -> Outcome:
         """Return the outcome of a call from its complete response."""
 
@@ -80,6 +88,9 @@
     def response_matcher(self, call: Call) -> ResponseMatcher | None:
         """Return None, because responses do not identify their request."""
 
+    def head_observer(self, call: Call) -> HeadObserver | None:
+        """Return None, because these targets send no notices."""
+
     def outcome_of(self, response: Response) -> Outcome:
         """Return the outcome of a call from its complete response.
 
--- a/src/savorystand/gateway/target_client.py
+++ b/src/savorystand/gateway/target_client.py
@@ -91,7 +91,10 @@
         # From here on the target may have received a part of the request.
         try:
             response = await conn.exchange(
-                request, remaining_ms, self._adapter.response_matcher(call)
+                request,
+                remaining_ms,
+                self._adapter.response_matcher(call),
+                self._adapter.head_observer(call),
             )
         except TimeoutError:
             return Error(
--- a/src/savorystand/node/factories.py
+++ b/src/savorystand/node/factories.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from savorystand.admission.queue import AdmissionQueue
+from savorystand.admission.rate_limit import RateLimit
 from savorystand.clock import Clock
 from savorystand.dispatch.attempts import AttemptRunner
 from savorystand.dispatch.dispatcher import Dispatcher
@@ -56,6 +57,9 @@
         'admission': lambda kernel: AdmissionQueue(
             clock=kernel.find('clock', Clock),
         ),
+        'rate limit': lambda kernel: RateLimit(
+            clock=kernel.find('clock', Clock),
+        ),
         'retry': lambda kernel: RetryPolicy(),
         'downstream overload': lambda kernel: DownstreamOverload(
             clock=kernel.find('clock', Clock),
--- a/src/savorystand/node/sidecar.py
+++ b/src/savorystand/node/sidecar.py
@@ -11,6 +11,7 @@
 from savorystand.dispatch.load_publisher import LoadPublisher
 from savorystand.dispatch.local_pool import LocalPool
 from savorystand.dispatch.parents import ParentInference
+from savorystand.dispatch.target_notices import TargetNotices
 from savorystand.gateway.request_protocol import RequestProtocol
 from savorystand.gateway.server import HttpListener
 from savorystand.gateway.target_client import TargetClient
@@ -83,6 +84,7 @@
             kernel=kernel, leave_delay_ms=cfg.drain_ms * _LEAVE_FRACTION
         ),
         'announcements': lambda kernel: Announcements(kernel=kernel),
+        'notices': lambda kernel: TargetNotices(kernel=kernel),
         'target': lambda kernel: TargetClient(
             clock=kernel.find('clock', Clock),
             host=cfg.node.target.host,
--- a/src/savorystand/platform/headers.py
+++ b/src/savorystand/platform/headers.py
@@ -14,4 +14,9 @@
 # Set in responses: running and waiting requests, slots and speed of the
 # worker's machine.
 LOAD = 'server-load'
+# Set in responses of a worker in need: the requests a second that it takes
+# from all nodes together, as a decimal number.
+RATE_LIMIT = 'server-limit'
+# Set to 1 in all responses of a worker that leaves.
+LEAVING = 'server-leaving'
 RETRY_AFTER = 'retry-after'
--- a/src/savorystand/platform/worker_adapter.py
+++ b/src/savorystand/platform/worker_adapter.py
@@ -2,15 +2,23 @@
 
 from __future__ import annotations
 
+import re
+from functools import partial
 from typing import TYPE_CHECKING
 
 from expression import Error
 
 from savorystand.call import Answered
 from savorystand.call import Response
+from savorystand.clock import Clock
 from savorystand.dispatch.local_pool import LocalPool
+from savorystand.dispatch.target_notices import TargetNotices
 from savorystand.gateway.headers import NOT_FORWARDED
 from savorystand.platform import headers as header_names
+from savorystand.target_notice import RateNamed
+from savorystand.target_notice import RateOmitted
+from savorystand.target_notice import RateUnreadable
+from savorystand.target_notice import TargetNotice
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 
@@ -18,29 +26,41 @@
     from savorystand.call import Call
     from savorystand.call import Headers
     from savorystand.call import Outcome
+    from savorystand.gateway.http_connection import HeadObserver
     from savorystand.gateway.http_connection import ResponseMatcher
     from savorystand.kernel.kernel import Kernel
+    from savorystand.target_notice import Incarnation
+    from savorystand.target_notice import RateStatement
 
 # Status with which a worker responds if it is not the expected instance.
 _MISDIRECTED = 421
+_LEAVING = '1'
+_DECIMAL = re.compile(r'\d+(\.\d*)?|\.\d+', re.ASCII)
+# Above any rate of calls; keeps sums with a limit finite.
+_MAX_PER_SECOND = 1e9
 _DROPPED_HEADERS = NOT_FORWARDED | {header_names.LOAD}
 
 
 class WorkerAdapter:
     """Translates calls and responses; implements ``TargetAdapter``."""
 
-    __slots__ = ('_local_pool',)
+    __slots__ = ('_clock', '_local_pool', '_notices')
 
     def __init__(self, *, kernel: Kernel) -> None:
-        """Use the instance id that the ``local pool`` of ``kernel`` holds."""
+        """Use the instance id that the ``local pool`` of ``kernel`` holds.
+
+        Notices in responses go to its service ``notices``.
+        """
+        self._clock = kernel.find('clock', Clock)
         self._local_pool = kernel.find('local pool', LocalPool)
+        self._notices = kernel.find('notices', TargetNotices)
 
     def request_headers(
         self, call: Call, execution_id: str, remaining_ms: float
     ) -> Headers:
         """Return the headers of a call except the length of its body."""
         deadline = (header_names.DEADLINE, str(int(remaining_ms)))
-        instance = self._local_pool.instance
+        instance = self._local_pool.incarnation.instance
         if not instance:
             return (*call.headers, deadline)
         expected = (header_names.EXPECTED_INSTANCE, instance)
@@ -54,6 +74,19 @@
         request_id = call.context.request_id
         return lambda headers: _matches_request(headers, request_id)
 
+    def head_observer(self, call: Call) -> HeadObserver | None:
+        """Return a function that passes on the notices of a response.
+
+        Only the response that names the request counts: any other may be
+        older than what is known, or that of another instance.
+        """
+        return partial(
+            self._receive_head,
+            call.context.request_id,
+            self._local_pool.incarnation,
+            self._clock.now(),
+        )
+
     def outcome_of(self, response: Response) -> Outcome:
         """Return the outcome of a call to which the worker has responded."""
         if response.status == _MISDIRECTED:
@@ -79,6 +112,28 @@
             )
         )
 
+    def _receive_head(
+        self,
+        request_id: str,
+        incarnation: Incarnation,
+        sent_ms: float,
+        status: int,
+        headers: Headers,
+    ) -> None:
+        if status == _MISDIRECTED or not request_id:
+            return
+        if (header_names.REQUEST_ID, request_id) not in headers:
+            return
+        leaving_flags = _split_values(headers, header_names.LEAVING)
+        self._notices.receive(
+            TargetNotice(
+                incarnation=incarnation,
+                sent_ms=sent_ms,
+                rate=_rate_statement(headers),
+                leaving=_LEAVING in leaving_flags,
+            )
+        )
+
 
 def _matches_request(headers: Headers, request_id: str) -> bool:
     # A response without a request id matches any request.
@@ -86,3 +141,25 @@
         if name == header_names.REQUEST_ID:
             return text in {'', request_id}
     return True
+
+
+def _rate_statement(headers: Headers) -> RateStatement:
+    # The lowest one counts if a response names several limits.
+    texts = _split_values(headers, header_names.RATE_LIMIT)
+    if not texts:
+        return RateOmitted()
+    limits = [float(text) for text in texts if _DECIMAL.fullmatch(text)]
+    if not limits:
+        return RateUnreadable()
+    return RateNamed(per_second=min(_MAX_PER_SECOND, *limits))
+
+
+def _split_values(headers: Headers, wanted: str) -> list[str]:
+    # Equal names may stand in lines of their own or in one, with commas
+    # between their values (RFC 9110, section 5.3).
+    return [
+        text.strip()
+        for name, line in headers
+        if name == wanted
+        for text in line.split(',')
+    ]
--- a/src/savorystand/reporting/columns.py
+++ b/src/savorystand/reporting/columns.py
@@ -71,6 +71,7 @@
 
 _NOT_RUN_COLUMNS = {  # noqa: WPS407 (a constant table, never changed)
     Reason.OVERLOADED: Column.NOT_RUN_SHED,
+    Reason.RATE_LIMITED: Column.NOT_RUN_SHED,
     Reason.TARGET_REFUSED: Column.NOT_RUN_SHED,
     Reason.DRAINING: Column.NOT_RUN_SHED,
     Reason.DEADLINE: Column.NOT_RUN_DEADLINE,
--- a/src/savorystand/verdict.py
+++ b/src/savorystand/verdict.py
@@ -17,6 +17,8 @@
     KEY_REUSED = 'key-reused'
     IN_PROGRESS = 'in-progress'
     OVERLOADED = 'overloaded'
+    # The target takes fewer calls a second than it is sent.
+    RATE_LIMITED = 'rate-limited'
     DEADLINE = 'deadline'
     CANCELLED = 'cancelled'
     UNAVAILABLE = 'unavailable'
--- a/tests/dispatch/test_announcements.py
+++ b/tests/dispatch/test_announcements.py
@@ -19,6 +19,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from savorystand.target_notice import Incarnation
+
 _READY = Announcement(
     instance='i-1',
     started_ms=1000,
@@ -33,8 +35,10 @@
     def __init__(self) -> None:
         self.calls: list[str] = []
 
-    def announce(self, pool: str, *, slots: int, instance: str) -> None:
-        self.calls.append(f'{pool} {slots} {instance}')
+    def announce(
+        self, pool: str, *, slots: int, incarnation: Incarnation
+    ) -> None:
+        self.calls.append(f'{pool} {slots} {incarnation.instance}')
 
     def leave(self) -> None:
         self.calls.append('leave')
--- a/tests/dispatch/test_attempts.py
+++ b/tests/dispatch/test_attempts.py
@@ -19,6 +19,7 @@
 from hypothesis import strategies as st
 
 from savorystand.admission.queue import AdmissionQueue
+from savorystand.admission.rate_limit import RateLimit
 from savorystand.call import Response
 from savorystand.clock import ManualClock
 from savorystand.dispatch.attempts import AttemptRunner
@@ -73,6 +74,7 @@
         self.kernel.register('membership', FakeDirectory(members))
         self.kernel.register('tables', TablesHolder())
         self.kernel.register('admission', BaselineAdmission(clock=self.clock))
+        self.kernel.register('rate limit', RateLimit(clock=self.clock))
         self.kernel.register('local pool', LocalPool(kernel=self.kernel))
         self.kernel.register(
             'retry', RetryPolicy(passes_retries=passes_retries)
@@ -336,6 +338,7 @@
     kernel.register('executions', ExecutionRegistry())
     clock = kernel.find('clock', ManualClock)
     kernel.register('downstream overload', DownstreamOverload(clock=clock))
+    kernel.register('rate limit', RateLimit(clock=clock))
     kernel.register('local pool', LocalPool(kernel=kernel))
     outcome = await Inbound(kernel=kernel).serve(make_call())
     assert outcome.error.reason is Reason.DRAINING
--- a/tests/dispatch/test_inbound.py
+++ b/tests/dispatch/test_inbound.py
@@ -11,6 +11,7 @@
 import pytest
 
 from savorystand.admission.queue import AdmissionQueue
+from savorystand.admission.rate_limit import RateLimit
 from savorystand.clock import ManualClock
 from savorystand.dispatch.inbound import Inbound
 from savorystand.dispatch.local_pool import LocalPool
@@ -30,6 +31,7 @@
     kernel.register('tables', TablesHolder())
     kernel.register('executions', ExecutionRegistry())
     kernel.register('admission', AdmissionQueue(clock=clock))
+    kernel.register('rate limit', RateLimit(clock=clock))
     kernel.register('local pool', LocalPool(kernel=kernel))
     kernel.register('downstream overload', DownstreamOverload(clock=clock))
     return kernel
--- a/tests/platform/test_worker_adapter.py
+++ b/tests/platform/test_worker_adapter.py
@@ -16,9 +16,12 @@
 
 from savorystand.clock import Clock
 from savorystand.dispatch.local_pool import LocalPool
+from savorystand.dispatch.target_notices import TargetNotices
 from savorystand.gateway.target_client import TargetClient
 from savorystand.kernel.kernel import Kernel
 from savorystand.platform.worker_adapter import WorkerAdapter
+from savorystand.target_notice import Incarnation
+from savorystand.target_notice import TargetNotice
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
@@ -46,11 +49,22 @@
 
 class _LocalPool(LocalPool):
     def __init__(self, instance: str) -> None:
-        self.instance = instance
+        self.incarnation = Incarnation(instance=instance, started_ms=1)
+
+
+class _Notices(TargetNotices):
+    def __init__(self) -> None:
+        self.received: list[TargetNotice] = []
+
+    def receive(self, notice: TargetNotice) -> None:
+        self.received.append(notice)
 
 
 async def _exchange(
-    *chunks: bytes, reset: bool = False, count: int = 1
+    *chunks: bytes,
+    reset: bool = False,
+    count: int = 1,
+    notices: _Notices | None = None,
 ) -> tuple[list[Outcome], list[bytes]]:
     """Return outcomes and request heads of calls to a worker.
 
@@ -73,7 +87,9 @@
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     kernel = Kernel()
+    kernel.register('clock', Clock())
     kernel.register('local pool', _LocalPool('i-7'))
+    kernel.register('notices', notices or _Notices())
     async with server:
         client = TargetClient(
             clock=Clock(),
