Keep to the rate limit that a target names

Callers' work overran targets that had asked for fewer calls a second. Cause: the node does not read the limit, so that no decision depends on it. It is one of a class: what a target says beside its answer was dropped at the adapter. Change: the node beside the target keeps a token bucket at the named rate, of which less important calls leave a part to the others. Refusals say that the call has not run and when there is room; the caller tries other targets, pauses those that refuse, and tells its own caller to come back only if none has room. Load reports carry the limit and a departure, and calls carry both back to a node that has restarted. Refusals keep the reason known to earlier versions.

--- a/src/savorystand/call.py
+++ b/src/savorystand/call.py
@@ -113,6 +113,7 @@
             to_home=self.to_home,
             attempt=self.attempt,
             parent_route=self.parent_route,
+            hint=self.hint,
         )
 
 
--- a/src/savorystand/dispatch/attempt_budget.py
+++ b/src/savorystand/dispatch/attempt_budget.py
@@ -22,6 +22,8 @@
 
 # Leaving or unreachable targets that one call may skip without a retry.
 _MAX_FAILOVERS = 3
+# Targets that one call may be refused by because of their rate limits.
+_MAX_RATE_REFUSALS = 8
 _FAILOVER_REASONS = frozenset(
     (
         Reason.DRAINING,
@@ -40,6 +42,7 @@
         '_failovers',
         '_not_run',
         '_policy',
+        '_rate_refusals',
         'retries',
         'tried',
     )
@@ -49,6 +52,7 @@
         self._policy = policy
         self.retries = retries
         self._failovers = _MAX_FAILOVERS
+        self._rate_refusals = 0
         self.tried: frozenset[str] = frozenset()
         self._may_have_run: MayHaveRun | None = None
         self._not_run: NotRun | None = None
@@ -59,14 +63,23 @@
         self.retries -= attempt_retries
         return attempt_retries
 
+    @property
+    def is_rate_limited(self) -> bool:
+        """Return True if a target has refused the call by its rate limit."""
+        return self._rate_refusals > 0
+
     def use_failover(self, refusal: Refusal) -> bool:
         """Return True if the next attempt after ``refusal`` needs no retry.
 
         A target that was not reached or is leaving has done no work, and
         calls without retries have to survive a planned stop. Each time
         it returns True, one of the ``_MAX_FAILOVERS`` of the call is used.
+        What the rate limit of a target leaves uncovered belongs to the others.
         """
         match refusal:
+            case NotRun(reason=Reason.RATE_LIMITED, from_below=False):
+                self._rate_refusals += 1
+                return self._rate_refusals < _MAX_RATE_REFUSALS
             case NotRun(from_below=False) if (
                 refusal.reason in _FAILOVER_REASONS
             ):
@@ -111,5 +124,16 @@
                 self._may_have_run = refusal
             case NotRun(reason=Reason.NO_TARGET) if self._not_run is not None:
                 return
+            case NotRun(reason=Reason.RATE_LIMITED) if self._has_earlier_room(
+                refusal
+            ):
+                return
             case NotRun():
                 self._not_run = refusal
+
+    def _has_earlier_room(self, refusal: NotRun) -> bool:
+        # Another target that refused by its rate limit has room earlier.
+        known = self._not_run
+        if known is None or known.reason is not Reason.RATE_LIMITED:
+            return False
+        return known.retry_after_ms <= refusal.retry_after_ms
--- a/src/savorystand/dispatch/attempts.py
+++ b/src/savorystand/dispatch/attempts.py
@@ -10,13 +10,13 @@
 from expression import Error
 from expression import Result
 
+from savorystand.call import Importance
 from savorystand.clock import Clock
 from savorystand.dispatch.attempt_budget import AttemptBudget
 from savorystand.dispatch.hedge import Hedge
 from savorystand.reporting.observer import AttemptKind
 from savorystand.reporting.observer import find_observer
 from savorystand.retry.policy import RetryPolicy
-from savorystand.routing.router import Choice
 from savorystand.routing.router import Router
 from savorystand.transport.peer_client import PeerClient
 from savorystand.verdict import NotRun
@@ -28,6 +28,7 @@
     from savorystand.call import Call
     from savorystand.call import Outcome
     from savorystand.kernel.kernel import Kernel
+    from savorystand.routing.choice import Choice
     from savorystand.verdict import Refusal
 
 
@@ -84,7 +85,19 @@
                 ):
                     budget.retries -= 1
                 case _:
-                    return budget.final_outcome(outcome)
+                    return self._last_outcome(call, budget, outcome)
+
+    def _last_outcome(
+        self, call: Call, budget: AttemptBudget, outcome: Outcome
+    ) -> Outcome:
+        last = budget.final_outcome(outcome)
+        match last:
+            case Result(
+                tag='error', error=NotRun(reason=Reason.RATE_LIMITED) as refusal
+            ):
+                return Error(self._router.record_rate_exhausted(call, refusal))
+            case _:
+                return last
 
     def _may_continue(
         self,
@@ -95,6 +108,9 @@
         remaining_ms = call.context.deadline_ms - self._clock.now()
         if remaining_ms <= self._router.expected_ms(call):
             return False
+        if refusal.reason is Reason.RATE_LIMITED:
+            # All that are worth trying have refused.
+            return False
         # While the pool sheds this importance, its other targets would refuse
         # the call as well.
         shedding = refusal.reason is Reason.OVERLOADED
@@ -157,8 +173,17 @@
 
     def _pick(self, call: Call, budget: AttemptBudget) -> Choice | None:
         choice = self._router.pick(call, budget.tried)
-        if choice is not None:
-            budget.tried |= {choice.peer.node_id}
+        if choice is None:
+            return None
+        if (
+            budget.is_rate_limited
+            and call.context.importance < Importance.CRITICAL
+            and choice.is_rate_paused(self._clock.now())
+        ):
+            # The best of the others would refuse as well. Only the most
+            # important calls find room where others do not.
+            return None
+        budget.tried |= {choice.peer.node_id}
         return choice
 
     async def _attempt(
@@ -172,9 +197,12 @@
         outcome: Outcome | None = None
         self._router.begin(choice, call)
         try:
-            outcome = await self._peers.call(
-                choice.peer, call.with_retries(attempt.attempt_retries)
-            )
+            sent = call.with_retries(attempt.attempt_retries)
+            # Told to a node that has restarted beside a running target.
+            hint = self._router.memory.hint(choice.peer, started_ms)
+            if hint is not None:
+                sent = replace(sent, hint=hint)
+            outcome = await self._peers.call(choice.peer, sent)
         finally:
             self._finish(call, attempt, outcome, started_ms)
         if not attempt.attempt_retries and outcome.is_ok():
--- a/src/savorystand/dispatch/inbound.py
+++ b/src/savorystand/dispatch/inbound.py
@@ -15,6 +15,7 @@
 from savorystand.clock import Clock
 from savorystand.dispatch.keyed import KeyedCalls
 from savorystand.dispatch.local_pool import LocalPool
+from savorystand.dispatch.target_notices import TargetNotices
 from savorystand.gateway.target import TargetSender
 from savorystand.reporting.observer import find_observer
 from savorystand.retry.executions import Execution
@@ -85,6 +86,8 @@
         now = self._clock.now()
         if now - self._load_read_ms > _LOAD_CACHE_MS:
             self._load = self._admission.load()
+            self._load.rate_limit = self._rate_limit.current()
+            self._load.leaving = self._local_pool.leaving
             self._load_read_ms = now
         return self._load
 
@@ -95,6 +98,8 @@
             # that runs requests with it.
             keys = self._kernel.find('keys', KeyedCalls)
             return await keys.serve_home(call)
+        if call.hint is not None:
+            self._kernel.find('notices', TargetNotices).assume(call.hint)
         if not self._local_pool.serves(call.route.pool):
             # The address was reassigned to a target of another pool.
             pool = call.route.pool
@@ -108,7 +113,7 @@
                 )
             )
         arrived_ms = self._clock.now()
-        admitted = await self._admission.admit(call)
+        admitted = await self._admit(call)
         waited_ms = self._clock.now() - arrived_ms
         match admitted:
             case Permit():
@@ -120,9 +125,27 @@
                 remaining_retries = call.context.retries_left
                 return Error(replace(admitted, retries_left=remaining_retries))
 
+    async def _admit(self, call: Call) -> Permit | NotRun:
+        # Checked before the queue, since a call that cannot start soon is
+        # better served by another target, and again when it starts.
+        importance = call.context.importance
+        refusal = self._rate_limit.refusal(importance)
+        if refusal is not None:
+            return refusal
+        admitted = await self._admission.admit(call)
+        match admitted:
+            case Permit():
+                refusal = self._rate_limit.refusal(importance)
+                if refusal is None:
+                    self._rate_limit.record_start(call)
+                    return admitted
+                self._admission.release(admitted, answered=False)
+                return refusal
+            case NotRun():
+                return admitted
+
     async def _run(self, call: Call, permit: Permit) -> Outcome:
         target = self._kernel.find('target', TargetSender)
-        self._rate_limit.record_start(call)
         execution = self._executions.open(call.context, call.route.name)
         answered = False
         refused = False
--- a/src/savorystand/dispatch/load_publisher.py
+++ b/src/savorystand/dispatch/load_publisher.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from savorystand.admission.queue import AdmissionQueue
 from savorystand.clock import Clock
 from savorystand.kernel.service import Service
+from savorystand.transport.inbound import InboundHandler
 from savorystand.transport.loads import load_frame
 from savorystand.transport.peers import PeerTransport
 
@@ -25,6 +25,7 @@
 class LoadPublisher(Service):
     """Pushes the load to connected peers while the target is slow or sheds.
 
+    A rate limit that is named or ends, and a departure, are pushed once.
     Without the push each peer would learn of a slow or shedding target only
     from calls that fail there: with many peers and few calls from each, these
     calls dominate the tail latency.
@@ -45,21 +46,21 @@
         self._interval_ms = interval_ms
         self._kernel = kernel
         self._clock = kernel.find('clock', Clock)
-        self._published_state = (False, 0)
+        self._published_state: tuple[object, ...] = (False, 0, None, None)
         self._pushed_ms = float(0)
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Check the load and publish its changes until cancelled."""
         task_status.started()
-        admission = self._kernel.find('admission', AdmissionQueue)
+        inbound = self._kernel.find('inbound', InboundHandler)
         while True:
             await self._clock.tick(self._interval_ms)
-            self._publish_if_due(admission.load())
+            self._publish_if_due(inbound.load())
 
     def _publish_if_due(self, load: TargetLoad) -> None:
-        state = (load.slow, load.admitted_rank)
+        state = (load.slow, load.admitted_rank, load.rate_limit, load.leaving)
         now = self._clock.now()
-        is_normal = not any(state)
+        is_normal = not load.slow and not load.admitted_rank
         repeat_due = (
             not is_normal and now - self._pushed_ms >= _REPEAT_INTERVAL_MS
         )
--- a/src/savorystand/lab/baseline.py
+++ b/src/savorystand/lab/baseline.py
@@ -14,7 +14,7 @@
 from savorystand.clock import Clock
 from savorystand.membership.directory import MemberDirectory
 from savorystand.retry.policy import RetryPolicy
-from savorystand.routing.router import Choice
+from savorystand.routing.choice import Choice
 from savorystand.routing.router import Router
 from savorystand.verdict import NotRun
 
--- a/src/savorystand/node/builder.py
+++ b/src/savorystand/node/builder.py
@@ -10,6 +10,7 @@
 from savorystand.dispatch.attempts import AttemptRunner
 from savorystand.dispatch.inbound import Inbound
 from savorystand.dispatch.local_pool import LocalPool
+from savorystand.dispatch.target_notices import TargetNotices
 from savorystand.gateway.admin import AdminEndpoints
 from savorystand.gateway.application import CallerSource
 from savorystand.gateway.application import HttpApplication
@@ -85,6 +86,7 @@
             registry=KeyRegistry(),
         ),
         'local pool': lambda kernel: LocalPool(kernel=kernel),
+        'notices': lambda kernel: TargetNotices(kernel=kernel),
         'inbound': lambda kernel: Inbound(kernel=kernel),
     }
 
--- a/src/savorystand/reporting/call_log.py
+++ b/src/savorystand/reporting/call_log.py
@@ -20,7 +20,7 @@
     from savorystand.call import Outcome
     from savorystand.kernel.kernel import Kernel
     from savorystand.reporting.observer import AttemptKind
-    from savorystand.routing.router import Choice
+    from savorystand.routing.choice import Choice
     from savorystand.verdict import NotRun
 
 # Request ids come from callers and some details from targets; both may have up
--- a/src/savorystand/reporting/observer.py
+++ b/src/savorystand/reporting/observer.py
@@ -14,7 +14,7 @@
     from savorystand.call import Call
     from savorystand.call import Outcome
     from savorystand.kernel.kernel import Kernel
-    from savorystand.routing.router import Choice
+    from savorystand.routing.choice import Choice
     from savorystand.verdict import NotRun
 
 
--- a/src/savorystand/reporting/reporter.py
+++ b/src/savorystand/reporting/reporter.py
@@ -22,7 +22,7 @@
     from savorystand.call import Call
     from savorystand.call import Outcome
     from savorystand.kernel.kernel import Kernel
-    from savorystand.routing.router import Choice
+    from savorystand.routing.choice import Choice
     from savorystand.tables.tables import Tables
     from savorystand.verdict import NotRun
 
--- a/src/savorystand/routing/router.py
+++ b/src/savorystand/routing/router.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
-from typing import final
 
 from expression import Result
 
 from savorystand.call import Importance
 from savorystand.clock import Clock
 from savorystand.membership.directory import MemberDirectory
+from savorystand.routing.choice import Choice
 from savorystand.routing.downstream_overload import DownstreamOverload
 from savorystand.routing.pool_view import PoolView
-from savorystand.routing.pool_view import Target
+from savorystand.routing.target_memory import TargetMemory
 from savorystand.routing.target_selector import TargetSelector
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
@@ -24,8 +24,10 @@
 
     from savorystand.call import Call
     from savorystand.call import Outcome
+    from savorystand.call import Response
     from savorystand.call import TargetLoad
     from savorystand.kernel.kernel import Kernel
+    from savorystand.routing.pool_view import Target
     from savorystand.routing.route_times import RouteTimes
     from savorystand.routing.target_stats import TargetStats
     from savorystand.transport.address import PeerAddress
@@ -37,6 +39,8 @@
 _SHED_RETRY_AFTER_MS = 500
 # The throttle takes up to four seconds to admit all requests again.
 _MAX_THROTTLE_RETRY_AFTER_MS = 2000
+# Random part that is added to the time after which a caller may come back.
+_RETURN_SPREAD = 0.5
 # The target was unreachable, or accepts no new work.
 _AVOID_REASONS = frozenset((Reason.CONNECTION_LOST, Reason.DRAINING))
 # Caused by the request or its caller, not by the target.
@@ -48,25 +52,12 @@
         Reason.KEY_REQUIRED,
         Reason.KEY_REUSED,
         Reason.NO_ROUTE,
+        Reason.RATE_LIMITED,
         Reason.TOO_LARGE,
     )
 )
 
 
-@final
-@dataclass(slots=True, kw_only=True)
-class Choice:
-    """The target chosen for one attempt.
-
-    ``reason`` explains the choice in logs and decision records. ``target``
-    holds the router's statistics of the peer, if known.
-    """
-
-    peer: PeerAddress
-    reason: str
-    target: Target | None = None
-
-
 class Router:
     """Selects targets by the better of two random choices, nearest first."""
 
@@ -78,6 +69,7 @@
         '_on_failure',
         '_pools',
         '_rng',
+        'memory',
     )
 
     def __init__(
@@ -97,6 +89,7 @@
         self._rng = rng
         self._on_failure = on_failure
         self._pools: dict[str, PoolView] = {}
+        self.memory = TargetMemory()
         self._cross_region_bytes = 0
 
     def pick(self, call: Call, tried: frozenset[str]) -> Choice | None:
@@ -177,15 +170,35 @@
     def observe_load(self, peer: PeerAddress, load: TargetLoad) -> None:
         """Record the load report of a peer whose pool this node calls."""
         now = self._clock.now()
+        self.memory.record(peer, load, now)
         for view in self._pools.values():
             view.observe_load(peer, load, now)
 
+    def record_rate_exhausted(self, call: Call, refusal: NotRun) -> NotRun:
+        """Record that no target of the pool had room within its rate limit.
+
+        The refusal is returned with the time after which the caller may come
+        back. It grows with the share of requests that is refused, and is
+        spread so that the callers do not return together.
+        """
+        times = self._view(call).route(call.route.name)
+        now = self._clock.now()
+        self._record_overload(call, times, len(Importance), now)
+        excess = 1 - times.throttle.share(now)
+        wait_ms = max(
+            refusal.retry_after_ms, _MAX_THROTTLE_RETRY_AFTER_MS * excess
+        )
+        spread = 1 + _RETURN_SPREAD * self._rng.random()
+        return replace(refusal, retry_after_ms=int(wait_ms * spread))
+
     def begin(self, choice: Choice, call: Call) -> None:
         """Record that an attempt starts."""
         target = choice.target or self._view(call).target(choice.peer)
         if target is not None:
             target.stats.in_flight += 1
-            self._count_bytes(target, len(call.body))
+            self._cross_region_bytes += _cross_region_bytes(
+                target, len(call.body)
+            )
 
     def finish(
         self,
@@ -213,21 +226,33 @@
                 times.record(elapsed_ms)
                 stats.record_latency(times.ratio(elapsed_ms), now)
                 stats.record_result(failed=False, now=now)
-                # Calls to the local target use no connection to a peer, so
-                # the load in its responses is the only report of it that
-                # the router gets.
-                if response.load.limit:
-                    view.observe_load(choice.peer, response.load, now)
-                self._count_bytes(target, len(response.body))
-                self._record_overload(
-                    call, times, response.load.pressed_rank, now
-                )
+                self._record_response(call, target, view, response)
             case Result(error=NotRun(reason=Reason.OVERLOADED)):
                 stats.record_result(failed=True, now=now)
                 self._record_overload(call, times, len(Importance), now)
+            case Result(error=NotRun(reason=Reason.RATE_LIMITED)):
+                stats.rate_pause.record_refusal(now, self._rng.random())
             case Result(error=refusal):
                 self._record_refusal(choice.peer, refusal, stats, now)
 
+    def _record_response(
+        self, call: Call, target: Target, view: PoolView, response: Response
+    ) -> None:
+        now = self._clock.now()
+        load = response.load
+        # Calls to the local target use no connection to a peer, so the load in
+        # its responses is the only report of it that the router gets.
+        if load.limit:
+            view.observe_load(target.member.peer, load, now)
+            self.memory.record(target.member.peer, load, now)
+        if load.rate_limit is not None:
+            target.stats.rate_pause.record_response()
+        self._cross_region_bytes += _cross_region_bytes(
+            target, len(response.body)
+        )
+        times = view.route(call.route.name)
+        self._record_overload(call, times, load.pressed_rank, now)
+
     def _record_refusal(
         self,
         peer: PeerAddress,
@@ -238,7 +263,9 @@
         if refusal.reason in _AVOID_REASONS:
             stats.avoid(now)
             stats.record_result(failed=True, now=now)
-            self._report_failure(peer, refusal.reason)
+            lost = refusal.reason is Reason.CONNECTION_LOST
+            if lost and self._on_failure is not None:
+                self._on_failure(peer)
         elif not refusal.from_below and refusal.reason not in _NEUTRAL_REASONS:
             stats.record_result(failed=True, now=now)
 
@@ -269,10 +296,6 @@
             )
         return view
 
-    def _report_failure(self, peer: PeerAddress, reason: Reason) -> None:
-        if self._on_failure is not None and reason is Reason.CONNECTION_LOST:
-            self._on_failure(peer)
 
-    def _count_bytes(self, target: Target, size: int) -> None:
-        if target.in_other_region:
-            self._cross_region_bytes += size
+def _cross_region_bytes(target: Target, size: int) -> int:
+    return size if target.in_other_region else 0
--- a/src/savorystand/routing/target_selector.py
+++ b/src/savorystand/routing/target_selector.py
@@ -111,7 +111,13 @@
     ) -> Target | None:
         first, second = self._draw_pair(group)
         if first is None:
-            return best or next(filter(self._is_usable, group), None)
+            # The pause after a rate refusal that ends first is nearest to
+            # the time at which the target takes a call.
+            return best or min(
+                filter(self._is_usable, group),
+                key=lambda target: target.stats.rate_pause.until_ms,
+                default=None,
+            )
         if second is None and best is None:
             return first
         candidates = (first, second, best)
@@ -135,9 +141,9 @@
         return first, None
 
     def _is_eligible(self, target: Target) -> bool:
-        if not self._is_usable(target):
-            return False
         stats = target.stats
+        if not self._is_usable(target) or stats.rate_pause.is_active(self._now):
+            return False
         if stats.is_established(self._now):
             return True
         return not stats.is_skipped(self._now, self._rng.random())
@@ -145,7 +151,8 @@
     def _is_usable(self, target: Target) -> bool:
         if self._tried and target.member.peer.node_id in self._tried:
             return False
-        return target.stats.avoid_until_ms <= self._now
+        stats = target.stats
+        return stats.avoid_until_ms <= self._now and stats.load.leaving is None
 
     def _is_preferred(self, target: Target) -> bool:
         return self._has_capacity(target) and not target.stats.is_degraded(
@@ -179,6 +186,7 @@
         return min(
             untried,
             key=lambda target: (
+                target.stats.load.leaving is not None,
                 target.stats.avoid_until_ms,
                 self._rng.random(),
             ),
--- a/src/savorystand/routing/target_stats.py
+++ b/src/savorystand/routing/target_stats.py
@@ -10,6 +10,7 @@
 
 from savorystand.call import TargetLoad
 from savorystand.clock import MS_PER_SECOND
+from savorystand.routing.rate_pause import RatePause
 
 if TYPE_CHECKING:
     from savorystand.call import Importance
@@ -65,6 +66,7 @@
     probed_ms: float = -math.inf
     load: TargetLoad = field(default_factory=TargetLoad)
     reported_ms: float = -math.inf
+    rate_pause: RatePause = field(default_factory=RatePause)
 
     def record_latency(self, ratio: float, now: float) -> None:
         """Record an attempt that took ``ratio`` times its route's mean."""
@@ -125,6 +127,8 @@
         if self.reports_slow(now) and not load.slow:
             self.ramp_up_started_ms = now
             self.slowness = 1
+        if load.rate_limit is None and self.load.rate_limit is not None:
+            self.rate_pause.reset()
         self.load = load
         self.reported_ms = now
 
@@ -151,6 +155,8 @@
 
     def is_busy(self, importance: Importance, now: float) -> bool:
         """Return True if a new call is likely to queue or be refused."""
+        if self.rate_pause.is_active(now):
+            return True
         used = self.in_flight
         if now - self.reported_ms < REPORT_TIMEOUT_MS:
             if self.load.admitted_rank > importance:
--- a/src/savorystand/transport/conversion.py
+++ b/src/savorystand/transport/conversion.py
@@ -11,8 +11,11 @@
 from savorystand.call import Importance
 from savorystand.call import Response
 from savorystand.call import TargetLoad
+from savorystand.target_notice import TargetHint
 from savorystand.transport.bounds import check_call
+from savorystand.transport.loads import decode_incarnation
 from savorystand.transport.loads import decode_load
+from savorystand.transport.loads import decode_rate_limit
 from savorystand.transport.loads import encode_load
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
@@ -57,6 +60,7 @@
             attempt=call.attempt,
             body_size=len(call.body),
             pool=call.route.pool,
+            hint=None if call.hint is None else _encode_hint(call.hint),
         ),
     )
 
@@ -93,6 +97,7 @@
         key=start.key or '',
         to_home=bool(start.to_home),
         attempt=max(0, start.attempt or 0),
+        hint=None if start.hint is None else _decode_hint(start.hint),
     )
 
 
@@ -130,16 +135,20 @@
     load: TargetLoad | None,
 ) -> Message:
     """Return the frame that refuses a call."""
+    rate_limited = refusal.reason is Reason.RATE_LIMITED
+    # Nodes of earlier versions do not know the more exact reason.
+    reason = Reason.OVERLOADED if rate_limited else refusal.reason
     return ttypes.Frame(
         refused=ttypes.Refused(
             stream=stream_id,
             may_have_run=isinstance(refusal, MayHaveRun),
-            reason=refusal.reason.value,
+            reason=reason.value,
             detail=refusal.detail,
             retry_after_ms=int(refusal.retry_after_ms),
             retries_left=refusal.retries_left,
             load=None if load is None else encode_load(load),
             from_below=refusal.from_below,
+            rate_limited=rate_limited or None,
         ),
     )
 
@@ -156,6 +165,8 @@
         raise FrameError(
             f'unknown reason {refused.reason!r} in a refusal'
         ) from exc
+    if refused.rate_limited:
+        reason = Reason.RATE_LIMITED
     kind = MayHaveRun if refused.may_have_run else NotRun
     return kind(
         reason=reason,
@@ -195,3 +206,19 @@
         retries_left=min(max(0, context.retries_left), _MAX_RETRIES),
         importance=importance,
     )
+
+
+def _encode_hint(hint: TargetHint) -> Message:
+    left = hint.left
+    return ttypes.TargetHint(
+        rate_limit=hint.rate_limit,
+        left_instance=None if left is None else left.instance,
+        left_started_ms=None if left is None else left.started_ms,
+    )
+
+
+def _decode_hint(hint: Message) -> TargetHint:
+    return TargetHint(
+        rate_limit=decode_rate_limit(hint.rate_limit),
+        left=decode_incarnation(hint.left_instance, hint.left_started_ms),
+    )
--- a/src/savorystand/transport/loads.py
+++ b/src/savorystand/transport/loads.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from savorystand.call import TargetLoad
+from savorystand.target_notice import Incarnation
+from savorystand.transport.bounds import MAX_NAME_BYTES
 from savorystand.wire.gen.wire import ttypes
 
 if TYPE_CHECKING:
@@ -30,6 +33,7 @@
 
 def encode_load(load: TargetLoad) -> Message:
     """Return the ``Load`` struct of a load report."""
+    leaving = load.leaving
     return ttypes.Load(
         in_flight=load.in_flight,
         queued=load.queued,
@@ -38,6 +42,9 @@
         expected_ms=load.expected_ms,
         slow=load.slow,
         pressed_rank=load.pressed_rank,
+        rate_limit=load.rate_limit,
+        leaving_instance=None if leaving is None else leaving.instance,
+        leaving_started_ms=None if leaving is None else leaving.started_ms,
     )
 
 
@@ -51,4 +58,24 @@
         expected_ms=load.expected_ms,
         slow=bool(load.slow),
         pressed_rank=load.pressed_rank or 0,
+        rate_limit=decode_rate_limit(load.rate_limit),
+        leaving=decode_incarnation(
+            load.leaving_instance, load.leaving_started_ms
+        ),
     )
+
+
+def decode_rate_limit(per_second: float | None) -> float | None:
+    """Return a rate limit that a peer reports, None if it is out of range."""
+    if per_second is None or not 0 <= per_second < math.inf:
+        return None
+    return per_second
+
+
+def decode_incarnation(
+    instance: str | None, started_ms: int | None
+) -> Incarnation | None:
+    """Return an incarnation that a peer reports, None if there is none."""
+    if not instance or len(instance) > MAX_NAME_BYTES:
+        return None
+    return Incarnation(instance=instance, started_ms=started_ms or 0)
--- a/src/savorystand/wire/gen/wire/ttypes.py
+++ b/src/savorystand/wire/gen/wire/ttypes.py
@@ -26,6 +26,9 @@
      - expected_ms
      - slow
      - pressed_rank
+     - rate_limit
+     - leaving_instance
+     - leaving_started_ms
 
     """
 
@@ -37,10 +40,13 @@
         'expected_ms',
         'slow',
         'pressed_rank',
+        'rate_limit',
+        'leaving_instance',
+        'leaving_started_ms',
     )
 
 
-    def __init__(self, in_flight=None, queued=None, limit=None, admitted_rank=None, expected_ms=None, slow=None, pressed_rank=None,):
+    def __init__(self, in_flight=None, queued=None, limit=None, admitted_rank=None, expected_ms=None, slow=None, pressed_rank=None, rate_limit=None, leaving_instance=None, leaving_started_ms=None,):
         self.in_flight = in_flight
         self.queued = queued
         self.limit = limit
@@ -48,6 +54,9 @@
         self.expected_ms = expected_ms
         self.slow = slow
         self.pressed_rank = pressed_rank
+        self.rate_limit = rate_limit
+        self.leaving_instance = leaving_instance
+        self.leaving_started_ms = leaving_started_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -93,6 +102,21 @@
                     self.pressed_rank = iprot.readI16()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.rate_limit = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.leaving_instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.leaving_started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -131,6 +155,18 @@
             oprot.writeFieldBegin('pressed_rank', TType.I16, 7)
             oprot.writeI16(self.pressed_rank)
             oprot.writeFieldEnd()
+        if self.rate_limit is not None:
+            oprot.writeFieldBegin('rate_limit', TType.DOUBLE, 8)
+            oprot.writeDouble(self.rate_limit)
+            oprot.writeFieldEnd()
+        if self.leaving_instance is not None:
+            oprot.writeFieldBegin('leaving_instance', TType.STRING, 9)
+            oprot.writeString(self.leaving_instance.encode('utf-8') if sys.version_info[0] == 2 else self.leaving_instance)
+            oprot.writeFieldEnd()
+        if self.leaving_started_ms is not None:
+            oprot.writeFieldBegin('leaving_started_ms', TType.I64, 10)
+            oprot.writeI64(self.leaving_started_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -461,6 +497,98 @@
         return not (self == other)
 
 
+class TargetHint(object):
+    """
+    Attributes:
+     - rate_limit
+     - left_instance
+     - left_started_ms
+
+    """
+
+    __slots__ = (
+        'rate_limit',
+        'left_instance',
+        'left_started_ms',
+    )
+
+
+    def __init__(self, rate_limit=None, left_instance=None, left_started_ms=None,):
+        self.rate_limit = rate_limit
+        self.left_instance = left_instance
+        self.left_started_ms = left_started_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.DOUBLE:
+                    self.rate_limit = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.left_instance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.left_started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetHint')
+        if self.rate_limit is not None:
+            oprot.writeFieldBegin('rate_limit', TType.DOUBLE, 1)
+            oprot.writeDouble(self.rate_limit)
+            oprot.writeFieldEnd()
+        if self.left_instance is not None:
+            oprot.writeFieldBegin('left_instance', TType.STRING, 2)
+            oprot.writeString(self.left_instance.encode('utf-8') if sys.version_info[0] == 2 else self.left_instance)
+            oprot.writeFieldEnd()
+        if self.left_started_ms is not None:
+            oprot.writeFieldBegin('left_started_ms', TType.I64, 3)
+            oprot.writeI64(self.left_started_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class CallStart(object):
     """
     Attributes:
@@ -477,6 +605,7 @@
      - key
      - attempt
      - pool
+     - hint
 
     """
 
@@ -494,10 +623,11 @@
         'key',
         'attempt',
         'pool',
+        'hint',
     )
 
 
-    def __init__(self, stream=None, context=None, route=None, method=None, path=None, headers=None, body=None, last=None, to_home=None, body_size=None, key=None, attempt=None, pool=None,):
+    def __init__(self, stream=None, context=None, route=None, method=None, path=None, headers=None, body=None, last=None, to_home=None, body_size=None, key=None, attempt=None, pool=None, hint=None,):
         self.stream = stream
         self.context = context
         self.route = route
@@ -511,6 +641,7 @@
         self.key = key
         self.attempt = attempt
         self.pool = pool
+        self.hint = hint
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -592,6 +723,12 @@
                     self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.hint = TargetHint()
+                    self.hint.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -657,6 +794,10 @@
             oprot.writeFieldBegin('pool', TType.STRING, 13)
             oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
             oprot.writeFieldEnd()
+        if self.hint is not None:
+            oprot.writeFieldBegin('hint', TType.STRUCT, 14)
+            self.hint.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -986,6 +1127,7 @@
      - retries_left
      - load
      - from_below
+     - rate_limited
 
     """
 
@@ -998,10 +1140,11 @@
         'retries_left',
         'load',
         'from_below',
+        'rate_limited',
     )
 
 
-    def __init__(self, stream=None, may_have_run=None, reason=None, detail=None, retry_after_ms=None, retries_left=None, load=None, from_below=None,):
+    def __init__(self, stream=None, may_have_run=None, reason=None, detail=None, retry_after_ms=None, retries_left=None, load=None, from_below=None, rate_limited=None,):
         self.stream = stream
         self.may_have_run = may_have_run
         self.reason = reason
@@ -1010,6 +1153,7 @@
         self.retries_left = retries_left
         self.load = load
         self.from_below = from_below
+        self.rate_limited = rate_limited
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1061,6 +1205,11 @@
                     self.from_below = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.rate_limited = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1103,6 +1252,10 @@
             oprot.writeFieldBegin('from_below', TType.BOOL, 8)
             oprot.writeBool(self.from_below)
             oprot.writeFieldEnd()
+        if self.rate_limited is not None:
+            oprot.writeFieldBegin('rate_limited', TType.BOOL, 9)
+            oprot.writeBool(self.rate_limited)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2754,6 +2907,9 @@
     (5, TType.I32, 'expected_ms', None, None, ),  # 5
     (6, TType.BOOL, 'slow', None, None, ),  # 6
     (7, TType.I16, 'pressed_rank', None, None, ),  # 7
+    (8, TType.DOUBLE, 'rate_limit', None, None, ),  # 8
+    (9, TType.STRING, 'leaving_instance', 'UTF8', None, ),  # 9
+    (10, TType.I64, 'leaving_started_ms', None, None, ),  # 10
 )
 all_structs.append(LoadPush)
 LoadPush.thrift_spec = (
@@ -2776,6 +2932,13 @@
     (2, TType.I32, 'version', None, None, ),  # 2
     (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
 )
+all_structs.append(TargetHint)
+TargetHint.thrift_spec = (
+    None,  # 0
+    (1, TType.DOUBLE, 'rate_limit', None, None, ),  # 1
+    (2, TType.STRING, 'left_instance', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'left_started_ms', None, None, ),  # 3
+)
 all_structs.append(CallStart)
 CallStart.thrift_spec = (
     None,  # 0
@@ -2792,6 +2955,7 @@
     (11, TType.STRING, 'key', 'UTF8', None, ),  # 11
     (12, TType.I32, 'attempt', None, None, ),  # 12
     (13, TType.STRING, 'pool', 'UTF8', None, ),  # 13
+    (14, TType.STRUCT, 'hint', [TargetHint, None], None, ),  # 14
 )
 all_structs.append(BodyChunk)
 BodyChunk.thrift_spec = (
@@ -2823,6 +2987,7 @@
     (6, TType.I16, 'retries_left', None, None, ),  # 6
     (7, TType.STRUCT, 'load', [Load, None], None, ),  # 7
     (8, TType.BOOL, 'from_below', None, None, ),  # 8
+    (9, TType.BOOL, 'rate_limited', None, None, ),  # 9
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
--- a/tests/dispatch/test_attempts.py
+++ b/tests/dispatch/test_attempts.py
@@ -31,8 +31,8 @@
 from savorystand.lab.baseline import BaselineAdmission
 from savorystand.retry.executions import ExecutionRegistry
 from savorystand.retry.policy import RetryPolicy
+from savorystand.routing.choice import Choice
 from savorystand.routing.downstream_overload import DownstreamOverload
-from savorystand.routing.router import Choice
 from savorystand.routing.router import Router
 from savorystand.tables.holder import TablesHolder
 from savorystand.verdict import MayHaveRun
--- a/tests/reporting/test_reporter.py
+++ b/tests/reporting/test_reporter.py
@@ -22,7 +22,7 @@
 from savorystand.reporting.logs import EventLog
 from savorystand.reporting.observer import AttemptKind
 from savorystand.reporting.reporter import CallReporter
-from savorystand.routing.router import Choice
+from savorystand.routing.choice import Choice
 from tests.reporting.builders import ANSWERED
 from tests.reporting.builders import OUTCOMES
 from tests.reporting.builders import call_of
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -18,7 +18,7 @@
 from savorystand.call import TargetLoad
 from savorystand.clock import ManualClock
 from savorystand.kernel.kernel import Kernel
-from savorystand.routing.router import Choice
+from savorystand.routing.choice import Choice
 from savorystand.routing.router import Router
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -16,6 +16,11 @@
   // Calls below this rank are refused or delayed, at this target or at a pool
   // that the route of the answered call depends on.
   7: optional i16 pressed_rank,
+  // Calls a second that the target takes from all nodes; unset without a limit.
+  8: optional double rate_limit,
+  // Set once the target leaves: its instance id and the wall time of its start.
+  9: optional string leaving_instance,
+  10: optional i64 leaving_started_ms,
 }
 
 // Load report that a node sends unsolicited on open connections of its callers.
@@ -37,6 +42,15 @@
   3: required string address,
 }
 
+// What a caller remembers of the target at an address. It is sent to a node
+// that has restarted there since.
+struct TargetHint {
+  1: optional double rate_limit,
+  // Incarnation that has said that it leaves.
+  2: optional string left_instance,
+  3: optional i64 left_started_ms,
+}
+
 struct CallStart {
   1: required i64 stream,
   2: required CallContext context,
@@ -55,6 +69,7 @@
   12: optional i32 attempt,
   // Pool that the caller expects the target to serve.
   13: optional string pool,
+  14: optional TargetHint hint,
 }
 
 struct BodyChunk {
@@ -86,6 +101,9 @@
   // The failure happened further down the chain, where the retries were
   // already spent.
   8: optional bool from_below,
+  // The reason is the rate limit of the target. ``reason`` is then 'overloaded',
+  // which nodes of earlier versions know.
+  9: optional bool rate_limited,
 }
 
 struct Cancel {
