Test the rate limit and departures at their edges

A double in a frame would also break the codec's test on random bytes, as NaN differs from itself. Change: tests of windows, priorities, overtaken and malformed notices, restarts and the version before; the limit travels as an integer, calls in 1,000 s.

--- a/src/savorystand/transport/conversion.py
+++ b/src/savorystand/transport/conversion.py
@@ -17,6 +17,7 @@
 from savorystand.transport.loads import decode_load
 from savorystand.transport.loads import decode_rate_limit
 from savorystand.transport.loads import encode_load
+from savorystand.transport.loads import encode_rate_limit
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
@@ -211,7 +212,7 @@
 def _encode_hint(hint: TargetHint) -> Message:
     left = hint.left
     return ttypes.TargetHint(
-        rate_limit=hint.rate_limit,
+        rate_limit_milli=encode_rate_limit(hint.rate_limit),
         left_instance=None if left is None else left.instance,
         left_started_ms=None if left is None else left.started_ms,
     )
@@ -219,6 +220,6 @@
 
 def _decode_hint(hint: Message) -> TargetHint:
     return TargetHint(
-        rate_limit=decode_rate_limit(hint.rate_limit),
+        rate_limit=decode_rate_limit(hint.rate_limit_milli),
         left=decode_incarnation(hint.left_instance, hint.left_started_ms),
     )
--- a/src/savorystand/transport/loads.py
+++ b/src/savorystand/transport/loads.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from savorystand.call import TargetLoad
@@ -14,6 +13,9 @@
     from savorystand.wire.codec import Message
 
 
+_MILLI = 1000
+
+
 def load_frame(load: TargetLoad) -> Message:
     """Return a frame that pushes a load report to a peer."""
     return ttypes.Frame(load_push=ttypes.LoadPush(load=encode_load(load)))
@@ -42,7 +44,7 @@
         expected_ms=load.expected_ms,
         slow=load.slow,
         pressed_rank=load.pressed_rank,
-        rate_limit=load.rate_limit,
+        rate_limit_milli=encode_rate_limit(load.rate_limit),
         leaving_instance=None if leaving is None else leaving.instance,
         leaving_started_ms=None if leaving is None else leaving.started_ms,
     )
@@ -58,18 +60,21 @@
         expected_ms=load.expected_ms,
         slow=bool(load.slow),
         pressed_rank=load.pressed_rank or 0,
-        rate_limit=decode_rate_limit(load.rate_limit),
+        rate_limit=decode_rate_limit(load.rate_limit_milli),
         leaving=decode_incarnation(
             load.leaving_instance, load.leaving_started_ms
         ),
     )
 
 
-def decode_rate_limit(per_second: float | None) -> float | None:
-    """Return a rate limit that a peer reports, None if it is out of range."""
-    if per_second is None or not 0 <= per_second < math.inf:
-        return None
-    return per_second
+def encode_rate_limit(per_second: float | None) -> int | None:
+    """Return a rate limit in calls in 1,000 s, rounded down."""
+    return None if per_second is None else int(per_second * _MILLI)
+
+
+def decode_rate_limit(milli: int | None) -> float | None:
+    """Return a rate limit in calls a second, None if it is out of range."""
+    return None if milli is None or milli < 0 else milli / _MILLI
 
 
 def decode_incarnation(
--- a/src/savorystand/wire/gen/wire/ttypes.py
+++ b/src/savorystand/wire/gen/wire/ttypes.py
@@ -26,7 +26,7 @@
      - expected_ms
      - slow
      - pressed_rank
-     - rate_limit
+     - rate_limit_milli
      - leaving_instance
      - leaving_started_ms
 
@@ -40,13 +40,13 @@
         'expected_ms',
         'slow',
         'pressed_rank',
-        'rate_limit',
+        'rate_limit_milli',
         'leaving_instance',
         'leaving_started_ms',
     )
 
 
-    def __init__(self, in_flight=None, queued=None, limit=None, admitted_rank=None, expected_ms=None, slow=None, pressed_rank=None, rate_limit=None, leaving_instance=None, leaving_started_ms=None,):
+    def __init__(self, in_flight=None, queued=None, limit=None, admitted_rank=None, expected_ms=None, slow=None, pressed_rank=None, rate_limit_milli=None, leaving_instance=None, leaving_started_ms=None,):
         self.in_flight = in_flight
         self.queued = queued
         self.limit = limit
@@ -54,7 +54,7 @@
         self.expected_ms = expected_ms
         self.slow = slow
         self.pressed_rank = pressed_rank
-        self.rate_limit = rate_limit
+        self.rate_limit_milli = rate_limit_milli
         self.leaving_instance = leaving_instance
         self.leaving_started_ms = leaving_started_ms
 
@@ -103,8 +103,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
-                if ftype == TType.DOUBLE:
-                    self.rate_limit = iprot.readDouble()
+                if ftype == TType.I64:
+                    self.rate_limit_milli = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
@@ -155,9 +155,9 @@
             oprot.writeFieldBegin('pressed_rank', TType.I16, 7)
             oprot.writeI16(self.pressed_rank)
             oprot.writeFieldEnd()
-        if self.rate_limit is not None:
-            oprot.writeFieldBegin('rate_limit', TType.DOUBLE, 8)
-            oprot.writeDouble(self.rate_limit)
+        if self.rate_limit_milli is not None:
+            oprot.writeFieldBegin('rate_limit_milli', TType.I64, 8)
+            oprot.writeI64(self.rate_limit_milli)
             oprot.writeFieldEnd()
         if self.leaving_instance is not None:
             oprot.writeFieldBegin('leaving_instance', TType.STRING, 9)
@@ -500,21 +500,21 @@
 class TargetHint(object):
     """
     Attributes:
-     - rate_limit
+     - rate_limit_milli
      - left_instance
      - left_started_ms
 
     """
 
     __slots__ = (
-        'rate_limit',
+        'rate_limit_milli',
         'left_instance',
         'left_started_ms',
     )
 
 
-    def __init__(self, rate_limit=None, left_instance=None, left_started_ms=None,):
-        self.rate_limit = rate_limit
+    def __init__(self, rate_limit_milli=None, left_instance=None, left_started_ms=None,):
+        self.rate_limit_milli = rate_limit_milli
         self.left_instance = left_instance
         self.left_started_ms = left_started_ms
 
@@ -528,8 +528,8 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.DOUBLE:
-                    self.rate_limit = iprot.readDouble()
+                if ftype == TType.I64:
+                    self.rate_limit_milli = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -552,9 +552,9 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('TargetHint')
-        if self.rate_limit is not None:
-            oprot.writeFieldBegin('rate_limit', TType.DOUBLE, 1)
-            oprot.writeDouble(self.rate_limit)
+        if self.rate_limit_milli is not None:
+            oprot.writeFieldBegin('rate_limit_milli', TType.I64, 1)
+            oprot.writeI64(self.rate_limit_milli)
             oprot.writeFieldEnd()
         if self.left_instance is not None:
             oprot.writeFieldBegin('left_instance', TType.STRING, 2)
@@ -2907,7 +2907,7 @@
     (5, TType.I32, 'expected_ms', None, None, ),  # 5
     (6, TType.BOOL, 'slow', None, None, ),  # 6
     (7, TType.I16, 'pressed_rank', None, None, ),  # 7
-    (8, TType.DOUBLE, 'rate_limit', None, None, ),  # 8
+    (8, TType.I64, 'rate_limit_milli', None, None, ),  # 8
     (9, TType.STRING, 'leaving_instance', 'UTF8', None, ),  # 9
     (10, TType.I64, 'leaving_started_ms', None, None, ),  # 10
 )
@@ -2935,7 +2935,7 @@
 all_structs.append(TargetHint)
 TargetHint.thrift_spec = (
     None,  # 0
-    (1, TType.DOUBLE, 'rate_limit', None, None, ),  # 1
+    (1, TType.I64, 'rate_limit_milli', None, None, ),  # 1
     (2, TType.STRING, 'left_instance', 'UTF8', None, ),  # 2
     (3, TType.I64, 'left_started_ms', None, None, ),  # 3
 )
--- a/tests/platform/test_worker_adapter.py
+++ b/tests/platform/test_worker_adapter.py
@@ -21,6 +21,10 @@
 from savorystand.kernel.kernel import Kernel
 from savorystand.platform.worker_adapter import WorkerAdapter
 from savorystand.target_notice import Incarnation
+from savorystand.target_notice import RateNamed
+from savorystand.target_notice import RateOmitted
+from savorystand.target_notice import RateStatement
+from savorystand.target_notice import RateUnreadable
 from savorystand.target_notice import TargetNotice
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
@@ -34,6 +38,7 @@
 # SO_LINGER with timeout 0: closing discards unsent data and sends a reset.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _END_OF_HEAD = b'\r\n\r\n'
+_LONG_NUMBER = '9' * 400
 
 
 def _response(request_id: str, body: str, *extra_headers: str) -> bytes:
@@ -173,3 +178,77 @@
     failed = _response('mine', 'failed').replace(b'200 OK', b'503 Failed')
     outcomes, _ = await _exchange(failed)
     assert outcomes[0].ok.status == 503
+
+
+@pytest.mark.parametrize(
+    ('lines', 'rate', 'leaving'),
+    [
+        ((), RateOmitted(), False),
+        (('Server-Limit: 12.5',), RateNamed(per_second=12.5), False),
+        (('server-limit:  0 ',), RateNamed(per_second=0), False),
+        (
+            ('Server-Limit: 40', 'Server-Limit: 7'),
+            RateNamed(per_second=7),
+            False,
+        ),
+        (('Server-Limit: 40, x, 9.',), RateNamed(per_second=9), False),
+        ((f'Server-Limit: {_LONG_NUMBER}',), RateNamed(per_second=1e9), False),
+        (('Server-Limit: -3',), RateUnreadable(), False),
+        (('Server-Limit: nan',), RateUnreadable(), False),
+        (('Server-Limit: 1e3',), RateUnreadable(), False),
+        (('Server-Limit:',), RateUnreadable(), False),
+        (('Server-Leaving: 1',), RateOmitted(), True),
+        (('Server-Leaving: 0', 'Server-Leaving: 1'), RateOmitted(), True),
+        (('Server-Leaving: yes',), RateOmitted(), False),
+        (('Server-Leaving:',), RateOmitted(), False),
+    ],
+)
+async def test_notices_with_any_value(
+    lines: tuple[str, ...], rate: RateStatement, leaving: bool
+) -> None:
+    """Malformed values neither set nor end a limit, nor take a target out."""
+    notices = _Notices()
+    outcomes, _ = await _exchange(
+        _response('mine', 'whole', *lines), notices=notices
+    )
+    assert outcomes[0].ok.body == b'whole'
+    received = [(notice.rate, notice.leaving) for notice in notices.received]
+    assert received == [(rate, leaving)]
+    assert notices.received[0].incarnation.instance == 'i-7'
+
+
+@pytest.mark.parametrize(
+    'unrelated',
+    [
+        _response('other', '', 'Server-Limit: 1', 'Server-Leaving: 1'),
+        _response('', '', 'Server-Limit: 1').replace(b'Request-Id: \r\n', b''),
+        b'HTTP/1.1 100 Continue\r\nServer-Limit: 1\r\n\r\n',
+    ],
+)
+async def test_notices_of_other_responses_are_ignored(unrelated: bytes) -> None:
+    """A late response may be older than what is known of the target."""
+    notices = _Notices()
+    await _exchange(unrelated + _response('mine', 'whole'), notices=notices)
+    assert all(notice.rate == RateOmitted() for notice in notices.received)
+    assert not any(notice.leaving for notice in notices.received)
+
+
+async def test_notices_of_another_instance_are_ignored() -> None:
+    """Status 421 comes from another worker than the one that was asked."""
+    notices = _Notices()
+    misdirected = _response('mine', '', 'Server-Leaving: 1').replace(
+        b'200 OK', b'421 Other'
+    )
+    await _exchange(misdirected, notices=notices)
+    assert not notices.received
+
+
+async def test_notices_apply_before_the_body_is_complete() -> None:
+    """A body may take seconds, in which newer responses may say otherwise."""
+    notices = _Notices()
+    truncated = _response('mine', 'whole', 'Server-Limit: 3')[:-1]
+    outcomes, _ = await _exchange(truncated, notices=notices)
+    assert outcomes[0].is_error()
+    assert [notice.rate for notice in notices.received] == [
+        RateNamed(per_second=3)
+    ]
--- a/tests/platform/test_worker_notices.py
+++ b/tests/platform/test_worker_notices.py
@@ -26,7 +26,10 @@
 from savorystand.tables.holder import TablesHolder
 from savorystand.tables.pool import Pool
 from savorystand.tables.tables import Tables
+from savorystand.target_notice import Incarnation
+from savorystand.target_notice import TargetHint
 from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
 from tests.policy_doubles import make_call
 
 if TYPE_CHECKING:
@@ -83,7 +86,7 @@
     clock: ManualClock
     _sent: int = 0
 
-    async def call(self) -> Outcome:
+    async def call(self, hint: TargetHint | None = None) -> Outcome:
         self._sent += 1
         call = make_call(deadline_ms=self.clock.now() + _WINDOW_MS)
         context = replace(call.context, request_id=f'r-{self._sent}')
@@ -91,6 +94,7 @@
             call,
             context=context,
             headers=(('request-id', context.request_id),),
+            hint=hint,
         )
         return await self.kernel.find('inbound', Inbound).serve(sent)
 
@@ -207,3 +211,38 @@
         announcements.accept(restarted)
         worker.extra_headers.clear()
         assert (await node.call()).is_ok()
+
+
+async def test_restarted_node_keeps_the_limit_that_callers_remember(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A restart of the node must not open its worker to a flood.
+
+    The worker says nothing before its first response, for which it may take
+    long.
+    """
+    hint = TargetHint(rate_limit=10)
+    async with _started(monkeypatch, 'Server-Limit: 10') as (node, worker):
+        node.clock.advance(_STEP_MS)
+        outcomes = [await node.call(hint) for _ in range(20)]
+        assert worker.requests <= 2
+        assert outcomes[-1].error.reason is Reason.RATE_LIMITED
+
+
+async def test_restarted_node_believes_callers_that_its_worker_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A late announcement must not return a worker that has left.
+
+    The node that knew of its departure has restarted; its callers have not.
+    """
+    left = Incarnation(instance=_READY.instance, started_ms=_READY.started_ms)
+    async with _started(monkeypatch) as (node, worker):
+        refused = await node.call(TargetHint(left=left))
+        assert refused.error.reason is Reason.DRAINING
+        announcements = node.kernel.find('announcements', Announcements)
+        announcements.accept(replace(_READY, sequence=2))
+        assert (await node.call()).error.reason is Reason.DRAINING
+        assert worker.requests == 0
+        announcements.accept(replace(_READY, started_ms=2000, sequence=1))
+        assert (await node.call(TargetHint(left=left))).is_ok()
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -16,8 +16,9 @@
   // Calls below this rank are refused or delayed, at this target or at a pool
   // that the route of the answered call depends on.
   7: optional i16 pressed_rank,
-  // Calls a second that the target takes from all nodes; unset without a limit.
-  8: optional double rate_limit,
+  // Calls that the target takes from all nodes in 1,000 s; unset without a
+  // limit. Frames hold no floating-point numbers.
+  8: optional i64 rate_limit_milli,
   // Set once the target leaves: its instance id and the wall time of its start.
   9: optional string leaving_instance,
   10: optional i64 leaving_started_ms,
@@ -45,7 +46,8 @@
 // What a caller remembers of the target at an address. It is sent to a node
 // that has restarted there since.
 struct TargetHint {
-  1: optional double rate_limit,
+  // As in Load.
+  1: optional i64 rate_limit_milli,
   // Incarnation that has said that it leaves.
   2: optional string left_instance,
   3: optional i64 left_started_ms,
