Send what near targets refuse by their rate limit to distant ones

Callers were refused while targets in other regions had room. Cause: a distant target was chosen over a near one that pauses after such a refusal only if it was neither slow nor failing, which the longer way makes it. Change: any target with room goes before one that pauses.

--- a/src/savorystand/routing/target_selector.py
+++ b/src/savorystand/routing/target_selector.py
@@ -81,7 +81,11 @@
             if self._can_reach_other_regions()
             else None
         )
-        if remote is not None and (best is None or self._is_preferred(remote)):
+        if remote is not None and (
+            best is None
+            or best.stats.rate_pause.is_active(self._now)
+            or self._is_preferred(remote)
+        ):
             return remote, 'other region'
         return best or self._any_untried(), 'no better target'
 
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -20,6 +20,7 @@
 from savorystand.kernel.kernel import Kernel
 from savorystand.routing.choice import Choice
 from savorystand.routing.router import Router
+from savorystand.target_notice import Incarnation
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 from tests.policy_doubles import FakeDirectory
@@ -186,3 +187,44 @@
         make_member(name, domain='c', region='other') for name in names
     ]
     assert all(caller.pick() is not None for _ in range(50))
+
+
+def test_work_beyond_a_rate_limit_goes_to_any_other_target() -> None:
+    """A slow distant target with room must serve what near ones refuse."""
+    caller = _CallingNode(
+        [
+            make_member('near', domain='b'),
+            make_member('far', domain='c', region='other'),
+        ],
+        domain='a',
+    )
+    caller.run(100, {'near': 10, 'far': 10})
+    near = caller.directory.lookup('near')
+    assert near is not None
+    limited = Error(NotRun(reason=Reason.RATE_LIMITED))
+    for _ in range(4):
+        choice = Choice(peer=near.peer, reason='test')
+        caller.router.begin(choice, make_call())
+        caller.router.finish(choice, make_call(), outcome=limited, elapsed_ms=1)
+    caller.report('near', load=TargetLoad(limit=9, rate_limit=5))
+    caller.report('far', load=TargetLoad(limit=9, slow=True))
+    picked = {caller.pick().peer.node_id for _ in range(50)}
+    assert picked == {'far'}
+    caller.report('near', load=TargetLoad(limit=9))
+    picked = {caller.pick().peer.node_id for _ in range(50)}
+    assert picked == {'near'}
+
+
+def test_leaving_target_gets_no_work_while_another_is_left() -> None:
+    """A target that has told this node that it leaves must be left alone.
+
+    The directory may list it for some time.
+    """
+    caller = _CallingNode([make_member('a'), make_member('b')])
+    caller.pick()
+    leaving = Incarnation(instance='i-1', started_ms=7)
+    caller.report('a', load=TargetLoad(limit=9, leaving=leaving))
+    caller.clock.advance(5000)
+    assert {caller.pick().peer.node_id for _ in range(50)} == {'b'}
+    caller.report('a', load=TargetLoad(limit=9))
+    assert {caller.pick().peer.node_id for _ in range(50)} == {'a', 'b'}
