Do not believe a refusal after the start of a response

Callers could be told that a request has not run while its target had begun to answer, and repeat it. Cause: a refusal replaced whatever a peer had sent for the call before. Change: the first outcome of a call counts; after any other frame for its stream a refusal means that it may have run; a refusal in a frame with another member ends the connection.

--- a/src/savorystand/transport/pending.py
+++ b/src/savorystand/transport/pending.py
@@ -16,6 +16,7 @@
 from savorystand.transport.loads import decode_refusal_load
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import Reason
+from savorystand.wire.errors import FrameError
 
 if TYPE_CHECKING:
     import asyncio
@@ -29,18 +30,21 @@
 class PendingCall:
     """A call whose response has not arrived completely."""
 
-    __slots__ = ('assembly', 'done', 'outcome')
+    __slots__ = ('assembly', 'begun', 'done', 'outcome')
 
     def __init__(self, done: asyncio.Future[None]) -> None:
         """Create a call without a response; its caller awaits ``done``."""
         # A future costs a fraction of an anyio event.
         self.done = done
         self.assembly: BodyAssembly | None = None
+        # True once the peer has sent anything but a refusal for the call.
+        self.begun = False
         self.outcome: Outcome | None = None
 
     def finish(self, outcome: Outcome) -> None:
-        """Store the outcome and wake the caller."""
-        self.outcome = outcome
+        """Store the outcome and wake the caller; the first outcome counts."""
+        if self.outcome is None:
+            self.outcome = outcome
         self.wake()
 
     def wake(self) -> None:
@@ -90,16 +94,18 @@
             FrameError: the frame is inconsistent in itself or with earlier
                 frames.
         """
+        if frame.refused is not None:
+            _check_sole_member(frame)
+            self.handle_refusal(frame.refused)
+            return True
         if frame.answer is not None:
             self.start_response(frame.answer)
             return True
         if frame.chunk is not None:
             self.add_chunk(frame.chunk)
             return True
-        if frame.refused is not None:
-            self.handle_refusal(frame.refused)
-            return True
         if frame.load_push is None:
+            self._mark_begun(frame)
             return False
         self._on_load(decode_load_push(frame.load_push))
         return True
@@ -114,6 +120,7 @@
         pending = self._calls.get(start.stream)
         if pending is None:
             return
+        pending.begun = True
         body = complete_body(start)
         if body is None:
             pending.assembly = BodyAssembly(start=start)
@@ -127,9 +134,12 @@
             FrameError: the body does not have its announced size.
         """
         pending = self._calls.get(chunk.stream)
-        if pending is None or pending.assembly is None:
+        if pending is None:
             return
+        pending.begun = True
         assembly = pending.assembly
+        if assembly is None:
+            return
         if assembly.add(chunk):
             response = decode_response(assembly.start, assembly.joined_body())
             pending.finish(Answered(response))
@@ -144,8 +154,16 @@
         if load is not None:
             self._on_load(load)
         pending = self._calls.get(refused.stream)
-        if pending is not None:
-            pending.finish(Error(decode_refusal(refused)))
+        if pending is None:
+            return
+        refusal = decode_refusal(refused)
+        if pending.begun:
+            # The target runs once its response begins, whatever the peer says.
+            refusal = MayHaveRun(
+                reason=Reason.TARGET_FAILED,
+                detail='the peer refused the call after its response began',
+            )
+        pending.finish(Error(refusal))
 
     def fail_all(self) -> None:
         """Finish all calls with ``MayHaveRun``.
@@ -156,3 +174,18 @@
             if pending.outcome is None:
                 lost = MayHaveRun(reason=Reason.CONNECTION_LOST)
                 pending.finish(Error(lost))
+
+    def _mark_begun(self, frame: Message) -> None:
+        # A peer that calls or cancels on a stream of this end is faulty, and
+        # its refusals of that stream are not believed.
+        for member in (frame.call, frame.cancel):
+            pending = member and self._calls.get(member.stream)
+            if pending is not None:
+                pending.begun = True
+
+
+def _check_sole_member(frame: Message) -> None:
+    # The decoder accepts a union with more than one member.
+    others = (frame.call, frame.answer, frame.chunk, frame.cancel)
+    if any(member is not None for member in others):
+        raise FrameError('refusal in a frame with another member')
