Refuse a load push without a load

One malformed frame ended the whole node. Cause: the codec did not check the struct nested in a load push, whose decoding raises an error that no connection expects. Change: the codec checks it like the others.

--- a/src/savorystand/wire/codec.py
+++ b/src/savorystand/wire/codec.py
@@ -103,6 +103,9 @@
         require_fields(frame.refused)
         if frame.refused.load is not None:
             require_fields(frame.refused.load)
+    if frame.load_push is not None:
+        require_fields(frame.load_push)
+        require_fields(frame.load_push.load)
     for nested in (frame.chunk, frame.cancel, frame.ping):
         if nested is not None:
             require_fields(nested)
--- a/tests/transport/test_malformed_frames.py
+++ b/tests/transport/test_malformed_frames.py
@@ -69,6 +69,10 @@
 )
 
 
+# A load push without its load.
+_EMPTY_PUSH = encode_frame(ttypes.Frame(load_push=ttypes.LoadPush()))
+
+
 async def _send_to_server(chunks: list[bytes]) -> None:
     client_end, server_end = faulty_pair()
     server = ServerConnection(
@@ -167,6 +171,7 @@
     st.lists(_MALFORMED, min_size=1, max_size=3),
 )
 @example('waiting', [_REPEATED_FIELD])
+@example('waiting', [_EMPTY_PUSH])
 def test_client_survives_malformed_input(
     state: str, malformed: list[bytes]
 ) -> None:
