Choose the ports of test listeners outside the range of outgoing connections

Cause: the port was found by binding to port 0 and closed again, which lets any outgoing connection of the machine take it, and it was not checked for UDP, which a node binds as well. Change: ports come from below that range, free for TCP and UDP, each once. Measured: the tests of trust, reporting, console and transport pass.

--- a/tests/reporting/nodes.py
+++ b/tests/reporting/nodes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
@@ -17,6 +16,7 @@
 from savorystand.tables.pool import Pool
 from savorystand.tables.route import Route
 from savorystand.tables.tables import Tables
+from tests.ports import free_port
 from tests.reporting.builders import member_of
 
 if TYPE_CHECKING:
@@ -69,9 +69,7 @@
 
 def free_address() -> Address:
     """Return a loopback address whose port was free when checked."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return Address(host='127.0.0.1', port=sock.getsockname()[1])
+    return Address(host='127.0.0.1', port=free_port())
 
 
 @asynccontextmanager
--- a/tests/transport/test_direct.py
+++ b/tests/transport/test_direct.py
@@ -17,6 +17,7 @@
 from savorystand.transport.direct import DirectListener
 from savorystand.transport.direct import DirectNetwork
 from savorystand.transport.direct import pump
+from tests.ports import free_port
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -29,16 +30,10 @@
 _LINGER_RESET = struct.pack('ii', 1, 0)
 
 
-def _free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return int(sock.getsockname()[1])
-
-
 @asynccontextmanager
 async def _connected_pair() -> AsyncIterator[tuple[ByteStream, ByteStream]]:
     """Yield the client and the server end of a connection."""
-    port = _free_port()
+    port = free_port()
     accepted: list[ByteStream] = []
     connected = anyio.Event()
 
