Contain unexpected errors in one connection or datagram

An unexpected error while a frame or datagram was handled ended the whole node. Cause: connections run in the task group of the transport, which passes an error on to all others; likewise the loop that receives datagrams. Change: such an error is logged and ends the connection, or drops the datagram. Measured: both tests of test_containment.py fail before.

--- a/src/savorystand/membership/datagrams.py
+++ b/src/savorystand/membership/datagrams.py
@@ -7,6 +7,7 @@
 from typing import TypeAlias
 
 import anyio
+from logbook import Logger
 
 if TYPE_CHECKING:
     from anyio.abc import UDPSocket
@@ -17,6 +18,7 @@
 
 # Bounds the datagrams queued for the socket; further ones are dropped.
 _MAX_QUEUED = 256
+_log = Logger('savorystand')
 
 
 class DatagramPort:
@@ -55,6 +57,17 @@
     async def receive(self, udp: UDPSocket, receiver: DatagramReceiver) -> None:
         """Pass datagrams with a valid tag to ``receiver`` until cancelled."""
         async for datagram, (host, port) in udp:
-            payload = self._authenticator.verify(datagram)
-            if payload is not None:
-                receiver(payload, host, port)
+            # An unexpected error costs one datagram, not the node.
+            try:
+                self._pass_on(datagram, host, port, receiver)
+            except Exception:
+                _log.exception(
+                    'level=error event=datagram-failed host={}', host
+                )
+
+    def _pass_on(
+        self, datagram: bytes, host: str, port: int, receiver: DatagramReceiver
+    ) -> None:
+        payload = self._authenticator.verify(datagram)
+        if payload is not None:
+            receiver(payload, host, port)
--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import anyio
+from logbook import Logger
 
 from savorystand.clock import MS_PER_SECOND
 from savorystand.clock import Clock
@@ -42,6 +43,7 @@
 # size, each of 7,700 nodes may hold one of them.
 MAX_PEER_CONNECTIONS = 8192
 _DRAIN_POLL_INTERVAL_MS = 20
+_log = Logger('savorystand')
 
 
 class PeerTransport(Service):
@@ -181,7 +183,7 @@
             ),
         )
         self._connections[peer] = conn
-        self._tasks.start_soon(conn.run, stream)
+        self._tasks.start_soon(_run_contained, conn, stream)
         return conn
 
     async def _serve(self, stream: ByteStream) -> None:
@@ -195,11 +197,21 @@
         )
         self._inbound_connections.add(conn)
         try:
-            await conn.run(stream)
+            await _run_contained(conn, stream)
         finally:
             self._inbound_connections.discard(conn)
 
 
+async def _run_contained(
+    conn: PeerConnection | ServerConnection, stream: ByteStream
+) -> None:
+    # An unexpected error costs one connection, not the node with all others.
+    try:
+        await conn.run(stream)
+    except Exception:
+        _log.exception('level=error event=peer-connection-failed')
+
+
 async def _call_when_connected(
     connecting: Awaitable[PeerConnection | None], call: Call
 ) -> Outcome:
--- /dev/null
+++ b/tests/transport/test_containment.py
@@ -0,0 +1,105 @@
+"""Guards against one unexpected error that ends the whole node."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import anyio
+import pytest
+
+from savorystand.clock import Clock
+from savorystand.kernel.kernel import Kernel
+from savorystand.membership.datagrams import DatagramPort
+from savorystand.transport.direct import DirectNetwork
+from savorystand.transport.peers import PeerTransport
+from savorystand.trust.datagram_authenticator import DatagramAuthenticator
+from savorystand.wire.codec import encode_frame
+from savorystand.wire.gen.wire import ttypes
+from tests.ports import free_port
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from savorystand.wire.codec import Message
+
+pytestmark = pytest.mark.anyio
+_LEAVING = encode_frame(ttypes.Frame(leaving=ttypes.Leaving(node_id='a' * 16)))
+_PING = encode_frame(ttypes.Frame(ping=ttypes.Ping(sequence=1)))
+
+
+class _FaultyControl:
+    def answer(self, frame: Message) -> Message | None:
+        raise RuntimeError('a fault of the control service')
+
+
+class _Inbound:
+    """Serves no calls in this test."""
+
+
+class _Datagrams:
+    """A UDP socket that has received two datagrams and then is closed."""
+
+    def __init__(self, datagram: bytes) -> None:
+        self._datagrams = [datagram, datagram]
+
+    def __aiter__(self) -> _Datagrams:
+        return self
+
+    async def __anext__(self) -> tuple[bytes, tuple[str, int]]:
+        if not self._datagrams:
+            raise StopAsyncIteration
+        return self._datagrams.pop(), ('127.0.0.1', 1)
+
+
+@asynccontextmanager
+async def _listening(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[int]:
+    for name, double in (
+        ('InboundHandler', _Inbound),
+        ('ControlResponder', _FaultyControl),
+    ):
+        monkeypatch.setattr(f'savorystand.transport.peers.{name}', double)
+    kernel = Kernel()
+    kernel.register('clock', Clock())
+    kernel.register('network', DirectNetwork())
+    kernel.register('inbound', _Inbound())
+    kernel.register('control', _FaultyControl())
+    port = free_port()
+    transport = PeerTransport(kernel=kernel, host='127.0.0.1', port=port)
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(
+            lambda task_status: transport.run(task_status=task_status)
+        )
+        yield port
+        tasks.cancel_scope.cancel()
+
+
+async def test_error_in_one_connection_leaves_the_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A fault while a frame is handled must cost only its connection."""
+    async with _listening(monkeypatch) as port:
+        other = await anyio.connect_tcp('127.0.0.1', port)
+        faulty = await anyio.connect_tcp('127.0.0.1', port)
+        await faulty.send(_LEAVING)
+        with anyio.fail_after(5), pytest.raises(anyio.EndOfStream):
+            await faulty.receive()
+        await other.send(_PING)
+        with anyio.fail_after(5):
+            assert await other.receive()
+        await other.aclose()
+        await faulty.aclose()
+
+
+async def test_error_in_one_datagram_leaves_the_others() -> None:
+    """A fault while a datagram is handled must cost only that datagram."""
+    authenticator = DatagramAuthenticator(admin_key='key')
+    port = DatagramPort(authenticator=authenticator)
+    received: list[bytes] = []
+
+    def fail(payload: bytes, host: str, port: int) -> None:
+        received.append(payload)
+        raise RuntimeError('a fault of the receiver')
+
+    await port.receive(_Datagrams(authenticator.sign(b'x')), fail)
+    assert received == [b'x', b'x']
