Do not believe a response without request id on a used connection

Callers could be told 'not run, try again' for a request that a worker ran, or get the body of another request. Cause: a response without Request-Id was taken for that of the request in progress, also on a connection that an earlier request had used; of several ids only the first was compared. Change: on a used connection a response must name its request, and only that one; on a new one nothing else can have been answered.

--- a/src/savorystand/gateway/http_connection.py
+++ b/src/savorystand/gateway/http_connection.py
@@ -185,7 +185,14 @@
 class HttpConnection(asyncio.Protocol):
     """Sends one request at a time and reads its complete response."""
 
-    __slots__ = ('_clock', '_done', '_reader', '_reusable', '_transport')
+    __slots__ = (
+        '_clock',
+        '_done',
+        '_reader',
+        '_reusable',
+        '_transport',
+        'is_new',
+    )
 
     def __init__(self, *, clock: Clock) -> None:
         """Create a connection without a transport; ``connect`` opens one."""
@@ -194,6 +201,8 @@
         self._reader: _ResponseReader | None = None
         self._done: asyncio.Future[None] | None = None
         self._reusable = True
+        # True until the first request is sent.
+        self.is_new = True
 
     @classmethod
     async def connect(
@@ -238,6 +247,7 @@
         if self._transport is None or not self._reusable:
             raise TargetProtocolError('connection to the target is closed')
         self._reusable = False
+        self.is_new = False
         reader = _ResponseReader(matcher, on_head)
         done = self._clock.loop().create_future()
         self._reader = reader
--- a/src/savorystand/gateway/target_adapter.py
+++ b/src/savorystand/gateway/target_adapter.py
@@ -39,9 +39,12 @@
     ) -> Headers:
         """Return the request headers of a call without content-length."""
 
-    def response_matcher(self, call: Call) -> ResponseMatcher | None:
+    def response_matcher(
+        self, call: Call, *, is_first: bool
+    ) -> ResponseMatcher | None:
         """Return a function that recognises the response to a call.
 
+        ``is_first`` is True if no request preceded it on the connection.
         It is None if responses do not identify their request. If a second
         response then arrives together with the first, for example a late one
         to an earlier request, either could belong to the call, and the call
@@ -85,7 +88,9 @@
             *call.headers,
         )
 
-    def response_matcher(self, call: Call) -> ResponseMatcher | None:
+    def response_matcher(
+        self, call: Call, *, is_first: bool
+    ) -> ResponseMatcher | None:
         """Return None, because responses do not identify their request."""
 
     def head_observer(self, call: Call) -> HeadObserver | None:
--- a/src/savorystand/gateway/target_client.py
+++ b/src/savorystand/gateway/target_client.py
@@ -93,7 +93,7 @@
             response = await conn.exchange(
                 request,
                 remaining_ms,
-                self._adapter.response_matcher(call),
+                self._adapter.response_matcher(call, is_first=conn.is_new),
                 self._adapter.head_observer(call),
             )
         except TimeoutError:
--- a/src/savorystand/platform/worker_adapter.py
+++ b/src/savorystand/platform/worker_adapter.py
@@ -66,13 +66,18 @@
         expected = (header_names.EXPECTED_INSTANCE, instance)
         return (*call.headers, deadline, expected)
 
-    def response_matcher(self, call: Call) -> ResponseMatcher:
+    def response_matcher(
+        self, call: Call, *, is_first: bool
+    ) -> ResponseMatcher:
         """Return a predicate on the headers of a response.
 
-        It is False if the response belongs to another request.
+        It is False if the response belongs to another request, or names none
+        although the connection had an earlier request, to which it may belong.
         """
         request_id = call.context.request_id
-        return lambda headers: _matches_request(headers, request_id)
+        return lambda headers: _matches_request(
+            headers, request_id, is_first=is_first
+        )
 
     def head_observer(self, call: Call) -> HeadObserver | None:
         """Return a function that passes on the notices of a response.
@@ -135,12 +140,14 @@
         )
 
 
-def _matches_request(headers: Headers, request_id: str) -> bool:
-    # A response without a request id matches any request.
-    for name, text in headers:
-        if name == header_names.REQUEST_ID:
-            return text in {'', request_id}
-    return True
+def _matches_request(
+    headers: Headers, request_id: str, *, is_first: bool
+) -> bool:
+    # A worker cannot name a request that has no id.
+    named = {text for name, text in headers if name == header_names.REQUEST_ID}
+    if named - {''}:
+        return named == {request_id}
+    return is_first or not request_id
 
 
 def _rate_statement(headers: Headers) -> RateStatement:
--- a/tests/platform/test_worker_adapter.py
+++ b/tests/platform/test_worker_adapter.py
@@ -91,25 +91,58 @@
         writer.close()
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    async with server:
+        port = server.sockets[0].getsockname()[1]
+        client = _client(port, notices or _Notices())
+        outcomes = [await _send(client) for _ in range(count)]
+    return outcomes, heads
+
+
+async def _exchange_on_one_connection(
+    *scripts: list[bytes],
+) -> tuple[list[Outcome], list[int]]:
+    """Return outcomes of one call for each script, and the connections.
+
+    The worker sends the chunks of the next script in reply to a request.
+    """
+    connections: list[int] = []
+    remaining = iter(scripts)
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connections.append(1)
+        for script in remaining:
+            try:
+                await reader.readuntil(_END_OF_HEAD)
+            except asyncio.IncompleteReadError:
+                break
+            writer.writelines(script)
+        writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    async with server:
+        client = _client(server.sockets[0].getsockname()[1], _Notices())
+        return [await _send(client) for _ in scripts], connections
+
+
+def _client(port: int, notices: _Notices) -> TargetClient:
     kernel = Kernel()
     kernel.register('clock', Clock())
     kernel.register('local pool', _LocalPool('i-7'))
-    kernel.register('notices', notices or _Notices())
-    async with server:
-        client = TargetClient(
-            clock=Clock(),
-            host='127.0.0.1',
-            port=server.sockets[0].getsockname()[1],
-            adapter=WorkerAdapter(kernel=kernel),
-        )
-        outcomes = []
-        for _ in range(count):
-            call = make_call(deadline_ms=Clock().now() + 5000)
-            context = replace(call.context, request_id='mine')
-            outcomes.append(
-                await client.send(replace(call, context=context), '')
-            )
-    return outcomes, heads
+    kernel.register('notices', notices)
+    return TargetClient(
+        clock=Clock(),
+        host='127.0.0.1',
+        port=port,
+        adapter=WorkerAdapter(kernel=kernel),
+    )
+
+
+async def _send(client: TargetClient) -> Outcome:
+    call = make_call(deadline_ms=Clock().now() + 5000)
+    context = replace(call.context, request_id='mine')
+    return await client.send(replace(call, context=context), '')
 
 
 async def test_skipped_response_does_not_count_against_size_limit() -> None:
@@ -252,3 +285,32 @@
     assert [notice.rate for notice in notices.received] == [
         RateNamed(per_second=3)
     ]
+
+
+@pytest.mark.parametrize('request_ids', [(), ('',), ('mine', 'other')])
+@pytest.mark.parametrize('status', ['503 Busy', '421 Other', '200 OK'])
+async def test_repeated_response_is_not_believed_on_a_kept_connection(
+    status: str, request_ids: tuple[str, ...]
+) -> None:
+    """A worker may write an earlier refusal or answer once more, late.
+
+    If it were believed, a request that runs would be reported as not run, or
+    get the body of another.
+    """
+    lines = [f'Request-Id: {one}' for one in request_ids]
+    stray = '\r\n'.join(
+        [f'HTTP/1.1 {status}', 'Not-Executed: 1', 'Content-Length: 5', *lines]
+    )
+    outcomes, heads = await _exchange_on_one_connection(
+        [_response('mine', 'whole')],
+        [f'{stray}\r\n\r\nstray'.encode(), _response('mine', 'again')],
+    )
+    assert [outcome.ok.body for outcome in outcomes] == [b'whole', b'again']
+    assert len(heads) == 1
+
+
+async def test_refusal_without_request_id_on_a_new_connection() -> None:
+    """Nothing else can have been refused on a connection without a request."""
+    refusal = _response('', '', 'Not-Executed: 1').replace(b'200 OK', b'503 X')
+    outcomes, _ = await _exchange(refusal.replace(b'Request-Id: \r\n', b''))
+    assert isinstance(outcomes[0].error, NotRun)
