Run a service again after an unexpected error

One unexpected error in any periodic duty ended the whole node, with all calls in progress. Cause: all services run in one task group, which passes an error on to the others.

--- a/src/savorystand/kernel/kernel.py
+++ b/src/savorystand/kernel/kernel.py
@@ -10,9 +10,11 @@
 
 import anyio
 
+from savorystand.clock import Clock
 from savorystand.kernel.errors import ServiceExistsError
 from savorystand.kernel.errors import ServiceMissingError
 from savorystand.kernel.service import Service
+from savorystand.kernel.supervisor import Supervisor
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -27,10 +29,11 @@
     Services start in the order of registration and stop in reverse order.
     """
 
-    __slots__ = ('_checked_types', '_order', '_scopes', '_services')
+    __slots__ = ('_checked_types', '_clock', '_order', '_scopes', '_services')
 
-    def __init__(self) -> None:
-        """Create an empty registry."""
+    def __init__(self, *, clock: Clock | None = None) -> None:
+        """Create an empty registry; ``clock`` times restarts of services."""
+        self._clock = clock or Clock()
         self._services: dict[str, object] = {}
         self._order: list[str] = []
         # Names are looked up on each call, and ``isinstance`` with a protocol
@@ -75,6 +78,8 @@
     ) -> None:
         """Run all services until ``stop`` is set, then drain and stop them.
 
+        A service that fails is run again; see ``Supervisor``.
+
         Raises:
             OSError: a service could not bind an address.
         """
@@ -97,17 +102,20 @@
         for name, service in self._runnable_services():
             scope = anyio.CancelScope()
             self._scopes[name] = scope
-            await tasks.start(self._run_service, service, scope)
+            supervisor = Supervisor(
+                name=name, service=service, clock=self._clock
+            )
+            await tasks.start(self._run_service, supervisor, scope)
 
     async def _run_service(
         self,
-        service: Service,
+        supervisor: Supervisor,
         scope: anyio.CancelScope,
         *,
         task_status: TaskStatus[None],
     ) -> None:
         with scope:
-            await service.run(task_status=task_status)
+            await supervisor.run(task_status=task_status)
 
     async def _stop_all(self) -> None:
         for name, service in reversed(self._runnable_services()):
--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -78,8 +78,12 @@
         self._observers.load_observers.append(observer)
 
     def add_control_observer(self, observer: ControlObserver) -> None:
-        """Call ``observer`` with each control frame from the peers called."""
-        self._observers.control_observers.append(observer)
+        """Call ``observer`` with each control frame from the peers called.
+
+        Adding it again has no effect.
+        """
+        if observer not in self._observers.control_observers:
+            self._observers.control_observers.append(observer)
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Listen and serve inbound connections until cancelled.
