Refuse announcements whose values no frame can carry

One heartbeat could make every later call and load report of a node fail. Cause: ids, numbers and pool names were taken at any size and with any character. A capacity of 10^12 or a start time of 10^30 overflows the frames that report them, a surrogate cannot be encoded, a line break in an id adds a header to the request. Change: they are checked where the heartbeat is decoded. Measured: 11 cases of test_control.py fail before.

--- a/src/savorystand/membership/conversion.py
+++ b/src/savorystand/membership/conversion.py
@@ -21,7 +21,8 @@
 MAX_NAME_BYTES = 64
 # More records than this do not fit into a datagram, even of minimal size.
 MAX_UPDATES = 64
-_MAX_NUMBER = 0x3FFFFFFFFFFFFFFF
+# Bound of times, versions and revisions in records.
+MAX_NUMBER = 0x3FFFFFFFFFFFFFFF
 _MAX_PORT = 65535
 
 
@@ -56,7 +57,7 @@
                 f'name in a member record exceeds {MAX_NAME_BYTES} bytes'
             )
     for number in (record.started_ms, record.version, record.revision):
-        if not 0 <= number <= _MAX_NUMBER:
+        if not 0 <= number <= MAX_NUMBER:
             raise FrameError(
                 f'number {number} in a member record is out of range'
             )
@@ -127,7 +128,7 @@
     for part in (gossip.probe, gossip.ack, gossip.request):
         if part is not None:
             require_fields(part)
-    if not 0 <= gossip.revision <= _MAX_NUMBER:
+    if not 0 <= gossip.revision <= MAX_NUMBER:
         raise FrameError(f'datagram revision {gossip.revision} is out of range')
     return gossip
 
--- a/src/savorystand/platform/control.py
+++ b/src/savorystand/platform/control.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import Protocol
@@ -28,6 +29,8 @@
 from savorystand.gateway.asgi import json_response
 from savorystand.gateway.asgi import request_body
 from savorystand.gateway.asgi import send_response
+from savorystand.membership.conversion import MAX_NAME_BYTES
+from savorystand.membership.conversion import MAX_NUMBER
 from savorystand.reporting.logs import Event
 from savorystand.reporting.logs import EventLog
 from savorystand.reporting.logs import EventName
@@ -46,9 +49,14 @@
 _DRAINING = 'draining'
 _STATES = frozenset(('ready', _DRAINING))
 _MAX_LOGGED_LENGTH = 200
+# More than one node can serve at once.
+_MAX_SLOTS = 1000000
+# A worker id is sent in headers and frames.
+_WORKER_ID = re.compile('[\x21-\x7e]{1,128}')
 _DECODE_ERRORS = (
     AttributeError,
     KeyError,
+    OverflowError,
     RecursionError,
     TypeError,
     ValueError,
@@ -106,11 +114,18 @@
                 path.removeprefix(_HEARTBEAT_PREFIX), body
             )
         if method == 'POST' and path.startswith(_DEREGISTER_PREFIX):
-            announcements = self._kernel.find('announcements', Announcements)
-            announcements.deregister(path.removeprefix(_DEREGISTER_PREFIX))
-            return json_response({})
+            return self._serve_deregistration(
+                path.removeprefix(_DEREGISTER_PREFIX)
+            )
         return HttpResponse(status=_NOT_FOUND)
 
+    def _serve_deregistration(self, worker_id: str) -> HttpResponse:
+        if _WORKER_ID.fullmatch(worker_id) is None:
+            return HttpResponse(status=_BAD_REQUEST)
+        announcements = self._kernel.find('announcements', Announcements)
+        announcements.deregister(worker_id)
+        return json_response({})
+
     def _serve_heartbeat(self, worker_id: str, body: bytes) -> HttpResponse:
         announcement = self._decode_heartbeat(worker_id, body)
         if announcement is None:
@@ -141,7 +156,8 @@
         """Return the announcement in the fields of a heartbeat.
 
         It is None if a field is out of range or of the wrong type, if the
-        worker id is empty, or if the address is not that of the local worker.
+        worker id is malformed, or if the address is not that of the local
+        worker.
         Any process can send heartbeats, and only the worker to which this node
         sends its calls may change the state of the local target.
 
@@ -158,12 +174,13 @@
         numbers = (slots, sequence, started_ms)
         if not all(map(_is_integer, numbers)):
             return None
-        if state not in _STATES or not isinstance(service, str):
+        if state not in _STATES or not _is_pool_name(service):
             return None
         if (
             fields['address'] != self._worker_address
-            or slots < 1
-            or not worker_id
+            or not 1 <= slots <= _MAX_SLOTS
+            or not 0 <= started_ms <= MAX_NUMBER
+            or _WORKER_ID.fullmatch(worker_id) is None
         ):
             return None
         return Announcement(
@@ -179,3 +196,11 @@
 def _is_integer(number: object) -> bool:
     # Excludes true and false: ``bool`` is a subclass of ``int``.
     return isinstance(number, int) and not isinstance(number, bool)
+
+
+def _is_pool_name(name: object) -> bool:
+    # Membership spreads the name. Surrogates, which it cannot encode, are not
+    # printable.
+    if not isinstance(name, str) or not name.isprintable():
+        return False
+    return 0 < len(name.encode()) <= MAX_NAME_BYTES
--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -109,6 +109,13 @@
         {'sequence': None},
         {'born': 1.5},
         {'service': 7},
+        {'service': ''},
+        {'service': 'x' * 65},
+        {'service': '\udc80'},
+        {'capacity': 10**12},
+        {'capacity': float('inf')},
+        {'born': 10**30},
+        {'born': -1},
         {'address': '10.0.0.2:80'},
     ],
 )
@@ -127,6 +134,20 @@
     assert not node.announcements.accepted
 
 
+@pytest.mark.parametrize('worker_id', ['', 'i 1', 'i\r\nX: y', 'ï', 'i' * 129])
+async def test_invalid_worker_ids_are_refused(worker_id: str) -> None:
+    """An id travels in headers and frames, in which it must have a place.
+
+    Otherwise each later call to the worker would fail or be misread.
+    """
+    node = _Node()
+    body = json.dumps(dict(_HEARTBEAT_FIELDS)).encode()
+    for prefix in ('/Instances.Heartbeat/', '/Instances.Deregister/'):
+        assert await node.request('POST', f'{prefix}{worker_id}', body) == 400
+    assert not node.announcements.accepted
+    assert not node.announcements.deregistered
+
+
 async def test_readiness() -> None:
     """A node that leaves or has no configuration must get no callers.
 
