Take numbers out of range in the store for malformed ones

A row or configuration with such a number ended the node. Cause: converting an infinite number raises an error that no reader of the store expects; versions beyond 62 bits and names with surrogates were accepted, which no datagram or frame can carry. Change: they count as malformed: the read is repeated, the configuration in force stays.

--- a/src/savorystand/platform/configuration.py
+++ b/src/savorystand/platform/configuration.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import TYPE_CHECKING
 from typing import Any
 
 from savorystand.call import Importance
+from savorystand.membership.conversion import MAX_NUMBER
 from savorystand.tables.document import TablesDocument
 from savorystand.tables.pool import Pool
 from savorystand.tables.route import PoolShare
@@ -31,6 +33,7 @@
     AttributeError,
     IndexError,
     KeyError,
+    OverflowError,
     RecursionError,
     TypeError,
 )
@@ -126,6 +129,8 @@
     except _DECODE_ERRORS:
         # Not a configuration; the one in force stays.
         return None
+    if not 0 <= revision <= MAX_NUMBER:
+        return None
     return TablesDocument(
         revision=revision,
         change_id=f'{row.version}',
@@ -136,19 +141,16 @@
 
 def _parse_route(host: str, fields: dict[str, Any]) -> Route:
     # A route has either ``weightedClusters`` or ``service``.
-    splits = tuple(
-        PoolShare(pool=str(split['service']), weight=float(split['weight']))
-        for split in fields.get('weightedClusters') or ()
-    )
+    splits = tuple(map(_parse_split, fields.get('weightedClusters') or ()))
     # ``priority`` is a rank, 0 being the highest.
     importance_rank = Importance.CRITICAL - int(
         fields.get('priority', Importance.NORMAL)
     )
     return Route(
-        name=str(fields['name']),
+        name=_parse_name(fields['name']),
         method='',
         path=str(fields['prefix']),
-        pool=str(fields.get('service') or splits[0].pool),
+        pool=_parse_name(fields.get('service') or splits[0].pool),
         importance=Importance(max(Importance.LOW, importance_rank)),
         idempotent=fields['routeKind'] != _NON_IDEMPOTENT_KIND,
         host=str(host).lower(),
@@ -160,10 +162,26 @@
     )
 
 
+def _parse_split(fields: dict[str, Any]) -> PoolShare:
+    weight = float(fields['weight'])
+    if not math.isfinite(weight) or weight < 0:
+        raise ValueError(f'weight {weight} is negative or not finite')
+    return PoolShare(pool=_parse_name(fields['service']), weight=weight)
+
+
+def _parse_name(name: object) -> str:
+    # Names are sent to peers, and surrogates, which are not printable, cannot
+    # be encoded.
+    text = str(name)
+    if not text.isprintable():
+        raise ValueError(f'name {text!r} has characters that cannot be printed')
+    return text
+
+
 def _parse_pool(fields: dict[str, Any]) -> Pool:
     # The number of slots comes with the announcements of each target.
     return Pool(
-        name=str(fields['name']),
+        name=_parse_name(fields['name']),
         slots=1,
         connections=int(fields.get('maxConnections') or 1),
     )
--- a/src/savorystand/platform/row_client.py
+++ b/src/savorystand/platform/row_client.py
@@ -32,6 +32,7 @@
 _DECODE_ERRORS = (
     AttributeError,
     KeyError,
+    OverflowError,
     RecursionError,
     TypeError,
     ValueError,
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import base64
 import json
 from typing import Any
 
@@ -22,7 +23,9 @@
 from savorystand.settings.node import Address
 from savorystand.store.connections import ServiceConnections
 from savorystand.store.connections import ServiceRequest
+from savorystand.store.connections import ServiceResponse
 from savorystand.store.errors import HistoryLostError
+from savorystand.store.errors import StoreUnavailableError
 from savorystand.tables.document import TablesDocument
 
 _CONFIG = RowKey(table='op', key='config')
@@ -102,6 +105,72 @@
         parse_configuration(document)
 
 
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'timeoutMs': float('inf')},
+        {'priority': float('nan')},
+        {'name': '\udc80'},
+        {'service': 'x\n'},
+        {'weightedClusters': [{'service': 'a', 'weight': float('nan')}]},
+        {'weightedClusters': [{'service': 'a', 'weight': -1}]},
+    ],
+)
+def test_configuration_out_of_range_is_rejected(change: dict[str, Any]) -> None:
+    """A value that no frame can carry must not reach the tables.
+
+    Each later call of the route would fail, or the node would end.
+    """
+    fields = _configuration_fields('0000000c', **change)
+    with pytest.raises(ValueError, match=r'.'):
+        parse_configuration(_document(fields))
+
+
+class _Connections(ServiceConnections):
+    """Responds to each request with the same body."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+
+    async def send(self, request: ServiceRequest) -> ServiceResponse:
+        return ServiceResponse(status=200, body=self._body)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'{"rows": [], "ver": 1e999}',
+        b'{"rows": [{"table": "op", "key": "config", "ver": 1e999}]}',
+        b'{"rows": [], "ver": [1]}',
+        b'[' * 100_000,
+        b'\xff',
+    ],
+)
+async def test_malformed_response_of_the_store_is_an_outage(
+    body: bytes,
+) -> None:
+    """Bytes that are no rows must not end the node; the read is repeated."""
+    rows = RowClient(connections=_Connections(body))
+    with pytest.raises(StoreUnavailableError):
+        await StoredConfiguration(rows=rows, feed=rows).newest()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize('version', ['f' * 17, '-1', '', 'x', 7, None])
+async def test_configuration_without_a_usable_version_is_ignored(
+    version: object,
+) -> None:
+    """A version that gossip cannot carry would silence membership."""
+    fields = {**_configuration_fields(''), 'version': version}
+    config = base64.b64encode(json.dumps(fields).encode()).decode()
+    row = {'table': 'op', 'key': 'config', 'ver': 3, 'value': config}
+    body = json.dumps({'rows': [row], 'ver': 3}).encode()
+    rows = RowClient(connections=_Connections(body))
+    newest = await StoredConfiguration(rows=rows, feed=rows).newest()
+    assert newest == (None, 3)
+
+
 @pytest.mark.anyio
 async def test_feed_returns_changes_and_reports_lost_history() -> None:
     """The feed returns each change, and an error if changes were discarded."""
