Bound everything that a target may send without end

A faulty target could fill the memory of its node, or hold calls until their deadline, with bytes that never become a response. Cause: each body was bounded, all bodies together were not; parts of one byte took the memory of an object each, for callers' bodies too; interim and late responses had no bound at all. Change: the bodies in progress on all connections share one bound, beyond which the longest is given up; bodies are kept in one piece; 16 other responses may precede the expected one. The reader of responses has a module of its own. Measured: without the two bounds, the cases of interim responses and of many bodies in test_target_client.py fail; heads, headers, trailers, chunk extensions and single bodies were bounded before.

--- a/src/savorystand/gateway/http_connection.py
+++ b/src/savorystand/gateway/http_connection.py
@@ -13,31 +13,20 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
-from typing import TypeAlias
 from typing import cast
 
-from httptools import HttpParserError
-from httptools import HttpResponseParser
-
 from savorystand.call import Response
 from savorystand.gateway.errors import TargetProtocolError
-from savorystand.gateway.headers import header_name
-from savorystand.transport.conversion import MAX_BODY_BYTES
+from savorystand.gateway.response_reader import ResponseReader
 
 if TYPE_CHECKING:
-    from savorystand.call import Headers
     from savorystand.clock import Clock
+    from savorystand.gateway.response_memory import ResponseMemory
+    from savorystand.gateway.response_reader import HeadObserver
+    from savorystand.gateway.response_reader import ResponseMatcher
 
-# Function that returns True if headers are those of the response to the request
-# in progress.
-ResponseMatcher: TypeAlias = Callable[['Headers'], bool]
-# Function that gets the status and headers of each final response.
-HeadObserver: TypeAlias = Callable[[int, 'Headers'], None]
-
-_MAX_HEADER_BYTES = 65536
-_MIN_FINAL_STATUS = 200
 # Data that stays unacknowledged for this time ends a connection (RFC 5482), so
 # that a connection to an unreachable host fails within 2 s, but one to a slow
 # target does not.
@@ -52,153 +41,25 @@
 )
 
 
-class _ResponseReader:
-    """Collects one response from the callbacks of the parser."""
-
-    __slots__ = (
-        '_body_size',
-        '_matcher',
-        '_on_head',
-        '_parser',
-        '_unparsed_bytes',
-        'body_parts',
-        'complete',
-        'headers',
-        'headers_complete',
-        'keep_alive',
-        'must_close',
-        'status',
-    )
-
-    def __init__(
-        self, matcher: ResponseMatcher | None, on_head: HeadObserver | None
-    ) -> None:
-        self._matcher = matcher
-        self._on_head = on_head
-        self._parser = HttpResponseParser(self)
-        self._body_size = 0
-        # Bytes received since the parser completed the headers or passed on a
-        # part of the body.
-        self._unparsed_bytes = 0
-        self.headers_complete = False
-        # The connection cannot be reused: it has ended, or malformed bytes or
-        # another response arrived on it.
-        self.must_close = False
-        self.headers: list[tuple[str, str]] = []
-        self.body_parts: list[bytes] = []
-        self.status = 0
-        self.complete = False
-        self.keep_alive = False
-
-    def feed(self, received: bytes) -> None:
-        self._unparsed_bytes += len(received)
-        try:
-            self._parser.feed_data(received)
-        except HttpParserError as exc:
-            self.must_close = True
-            if not self.complete or self._matcher is None:
-                raise TargetProtocolError(str(exc)) from exc
-        # Trailers and chunk extensions are subject to the same bound.
-        if self._unparsed_bytes > _MAX_HEADER_BYTES and not self.complete:
-            raise TargetProtocolError(
-                f'headers or trailers of the response exceed '
-                f'{_MAX_HEADER_BYTES} bytes'
-            )
-
-    def on_message_begin(self) -> None:
-        if not self.complete:
-            return
-        self.must_close = True
-        if self._matcher is None:
-            raise TargetProtocolError(
-                'received a second response after the expected one'
-            )
-
-    def on_header(self, name: bytes, text: bytes) -> None:
-        if self.complete:
-            return
-        self.headers.append((header_name(name), text.decode('latin-1')))
-
-    def on_headers_complete(self) -> None:
-        if self.complete:
-            return
-        self.status = self._parser.get_status_code()
-        self.headers_complete = True
-        self._unparsed_bytes = 0
-        if self._on_head is not None and self.status >= _MIN_FINAL_STATUS:
-            self._on_head(self.status, tuple(self.headers))
-
-    def on_body(self, body: bytes) -> None:
-        if self.complete:
-            return
-        self._unparsed_bytes = 0
-        self._body_size += len(body)
-        if self._body_size > MAX_BODY_BYTES:
-            raise TargetProtocolError(
-                f'body of the response exceeds {MAX_BODY_BYTES} bytes'
-            )
-        self.body_parts.append(body)
-
-    def on_message_complete(self) -> None:
-        if self.complete:
-            return
-        if self.status < _MIN_FINAL_STATUS:
-            # Interim responses (RFC 9110, section 15.2) precede the final one.
-            self._reset()
-            return
-        if not self._matches_request():
-            # A late response to an earlier request. The response to the
-            # current one may follow.
-            self.must_close = True
-            self._reset()
-            return
-        # The parser resets its value after this callback.
-        self.keep_alive = bool(self._parser.should_keep_alive())
-        self.complete = True
-
-    def receive_eof(self) -> bool:
-        """Process the end of the stream; return True if it ends the response.
-
-        It ends the body of a response that has neither a content length nor a
-        transfer encoding (RFC 9112, section 6.3).
-        """
-        if self.complete or not self.headers_complete:
-            return False
-        names = {name for name, _ in self.headers}
-        framing_headers = names & {'content-length', 'transfer-encoding'}
-        if framing_headers or not self._matches_request():
-            return False
-        self.must_close = True
-        self.complete = True
-        return True
-
-    def _matches_request(self) -> bool:
-        return self._matcher is None or self._matcher(tuple(self.headers))
-
-    def _reset(self) -> None:
-        self.headers.clear()
-        self.body_parts.clear()
-        self._body_size = 0
-        self.headers_complete = False
-
-
 class HttpConnection(asyncio.Protocol):
     """Sends one request at a time and reads its complete response."""
 
     __slots__ = (
         '_clock',
         '_done',
+        '_memory',
         '_reader',
         '_reusable',
         '_transport',
         'is_new',
     )
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, memory: ResponseMemory) -> None:
         """Create a connection without a transport; ``connect`` opens one."""
         self._clock = clock
+        self._memory = memory
         self._transport: asyncio.Transport | None = None
-        self._reader: _ResponseReader | None = None
+        self._reader: ResponseReader | None = None
         self._done: asyncio.Future[None] | None = None
         self._reusable = True
         # True until the first request is sent.
@@ -206,16 +67,18 @@
 
     @classmethod
     async def connect(
-        cls, *, clock: Clock, host: str, port: int
+        cls, *, clock: Clock, host: str, port: int, memory: ResponseMemory
     ) -> HttpConnection:
         """Return an open connection to ``host`` and ``port``.
 
+        The bodies of incomplete responses count towards ``memory``.
+
         Raises:
             OSError: the target is unreachable or refuses the connection.
         """
         loop = asyncio.get_running_loop()
         _, conn = await loop.create_connection(
-            lambda: cls(clock=clock), host, port
+            lambda: cls(clock=clock, memory=memory), host, port
         )
         return conn
 
@@ -248,19 +111,24 @@
             raise TargetProtocolError('connection to the target is closed')
         self._reusable = False
         self.is_new = False
-        reader = _ResponseReader(matcher, on_head)
+        reader = ResponseReader(
+            matcher=matcher,
+            on_head=on_head,
+            on_size=partial(self._memory.hold, self),
+        )
+        self._memory.begin(self)
         done = self._clock.loop().create_future()
         self._reader = reader
         self._done = done
         self._transport.write(request)
         timer = self._clock.call_later(
-            remaining_ms, lambda: self._finish(TimeoutError())
+            remaining_ms, lambda: self.fail(TimeoutError())
         )
         try:
             await done
         finally:
             timer.cancel()
-            self._reader = None
+            self._end_exchange()
         self._reusable = (
             reader.keep_alive
             and not reader.must_close
@@ -269,7 +137,7 @@
         return Response(
             status=reader.status,
             headers=tuple(reader.headers),
-            body=b''.join(reader.body_parts),
+            body=bytes(reader.body),
         )
 
     def close(self) -> None:
@@ -295,10 +163,10 @@
         try:
             self._reader.feed(received)
         except TargetProtocolError as exc:
-            self._finish(exc)
+            self.fail(exc)
             return
         if self._reader.complete:
-            self._finish(None)
+            self._finish()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Complete the exchange in progress.
@@ -311,16 +179,21 @@
             and self._reader is not None
             and self._reader.receive_eof()
         ):
-            self._finish(None)
+            self._finish()
             return
-        self._finish(
+        self.fail(
             exc or TargetProtocolError('target closed the connection early')
         )
 
-    def _finish(self, failure: Exception | None) -> None:
-        if self._done is None or self._done.done():
-            return
-        if failure is None:
-            self._done.set_result(None)
-        else:
+    def fail(self, failure: Exception) -> None:
+        """End the exchange in progress, if any, with an error."""
+        if self._done is not None and not self._done.done():
             self._done.set_exception(failure)
+
+    def _end_exchange(self) -> None:
+        self._reader = None
+        self._memory.release(self)
+
+    def _finish(self) -> None:
+        if self._done is not None and not self._done.done():
+            self._done.set_result(None)
--- a/src/savorystand/gateway/request_protocol.py
+++ b/src/savorystand/gateway/request_protocol.py
@@ -239,7 +239,7 @@
                 )
             )
         else:
-            self._body.append(body)
+            self._body += body
             self._body_size += len(body)
             self._app.unfinished_bytes += len(body)
 
@@ -288,7 +288,8 @@
     def _reset(self) -> None:
         self._path = b''
         self._headers: list[tuple[str, str]] = []
-        self._body: list[bytes] = []
+        # In one piece: the parts of a chunked body may have one byte each.
+        self._body = bytearray()
         self._received_ms = float(0)
 
     def _expects_continue(self) -> bool:
@@ -315,7 +316,7 @@
             method=self._parser.get_method().decode('latin-1'),
             path=self._path.decode('latin-1'),
             headers=tuple(self._headers),
-            body=b''.join(self._body),
+            body=bytes(self._body),
             received_ms=self._received_ms,
         )
 
--- a/src/savorystand/gateway/target_adapter.py
+++ b/src/savorystand/gateway/target_adapter.py
@@ -19,8 +19,8 @@
     from savorystand.call import Headers
     from savorystand.call import Outcome
     from savorystand.call import Response
-    from savorystand.gateway.http_connection import HeadObserver
-    from savorystand.gateway.http_connection import ResponseMatcher
+    from savorystand.gateway.response_reader import HeadObserver
+    from savorystand.gateway.response_reader import ResponseMatcher
 
 # Statuses of gateways and unavailable services (RFC 9110, sections 15.6.3 to
 # 15.6.5), which do not tell whether the call ran. Status 500 is an error of the
--- a/src/savorystand/gateway/target_client.py
+++ b/src/savorystand/gateway/target_client.py
@@ -10,6 +10,7 @@
 from savorystand.clock import MS_PER_SECOND
 from savorystand.gateway.errors import TargetProtocolError
 from savorystand.gateway.http_connection import HttpConnection
+from savorystand.gateway.response_memory import ResponseMemory
 from savorystand.gateway.target_adapter import ContextAdapter
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
@@ -35,7 +36,7 @@
     limits the calls that run at once, and each uses one connection.
     """
 
-    __slots__ = ('_adapter', '_clock', '_host', '_idle', '_port')
+    __slots__ = ('_adapter', '_clock', '_host', '_idle', '_memory', '_port')
 
     def __init__(
         self,
@@ -44,14 +45,16 @@
         host: str,
         port: int,
         adapter: TargetAdapter | None = None,
+        memory: ResponseMemory | None = None,
     ) -> None:
         """Create a client of the target at ``host`` and ``port``.
 
         Without ``adapter`` the target uses the ``savorystand-*`` headers; see
-        ``ContextAdapter``.
+        ``ContextAdapter``. ``memory`` bounds the responses in progress.
         """
         self._clock = clock
         self._adapter = adapter or ContextAdapter(host=f'{host}:{port}')
+        self._memory = memory or ResponseMemory()
         self._host = host
         self._port = port
         self._idle: list[tuple[float, HttpConnection]] = []
@@ -125,7 +128,10 @@
     async def _connect(self, call: Call) -> HttpConnection:
         with anyio.fail_after(max(0, self._remaining_ms(call)) / MS_PER_SECOND):
             return await HttpConnection.connect(
-                clock=self._clock, host=self._host, port=self._port
+                clock=self._clock,
+                host=self._host,
+                port=self._port,
+                memory=self._memory,
             )
 
     def _release(self, conn: HttpConnection) -> None:
--- a/src/savorystand/lab/fuzz/target.py
+++ b/src/savorystand/lab/fuzz/target.py
@@ -65,7 +65,7 @@
 
     async def _connect(self, call: Call) -> HttpConnection:
         await anyio.sleep(0)
-        conn = HttpConnection(clock=self._clock)
+        conn = HttpConnection(clock=self._clock, memory=self._memory)
         self._target.connect_protocol(conn)
         return conn
 
--- a/src/savorystand/platform/worker_adapter.py
+++ b/src/savorystand/platform/worker_adapter.py
@@ -26,8 +26,8 @@
     from savorystand.call import Call
     from savorystand.call import Headers
     from savorystand.call import Outcome
-    from savorystand.gateway.http_connection import HeadObserver
-    from savorystand.gateway.http_connection import ResponseMatcher
+    from savorystand.gateway.response_reader import HeadObserver
+    from savorystand.gateway.response_reader import ResponseMatcher
     from savorystand.kernel.kernel import Kernel
     from savorystand.target_notice import Incarnation
     from savorystand.target_notice import RateStatement
--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -16,6 +16,7 @@
 import pytest
 
 from savorystand.clock import Clock
+from savorystand.gateway.response_memory import ResponseMemory
 from savorystand.gateway.target_client import TargetClient
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
@@ -30,13 +31,15 @@
 _COMPLETE_RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole'
 _STRAY_RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstray'
 _TRUNCATED_RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ncut'
+_PAUSE = b'pause'
+_CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 
 
 class _Target:
     """Responds to each request with the chunks of the next script.
 
     An empty script leaves the request without a response. A last chunk that is
-    empty closes the connection.
+    empty closes the connection, and ``_PAUSE`` waits for ``resumed``.
     """
 
     def __init__(self, *scripts: tuple[bytes, ...]) -> None:
@@ -45,6 +48,8 @@
         self.connections = 0
         self.disconnected = anyio.Event()
         self.request_received = anyio.Event()
+        # Set to send the last byte of a response with a pause.
+        self.resumed = anyio.Event()
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -66,6 +71,9 @@
         self.request_received.set()
         script = self.scripts.pop(0)
         for chunk in script:
+            if chunk == _PAUSE:
+                await self.resumed.wait()
+                continue
             writer.write(chunk)
             await writer.drain()
             await asyncio.sleep(0)
@@ -73,11 +81,15 @@
 
 
 @asynccontextmanager
-async def _client(target: _Target) -> AsyncIterator[TargetClient]:
+async def _client(
+    target: _Target, memory: ResponseMemory | None = None
+) -> AsyncIterator[TargetClient]:
     server = await asyncio.start_server(target.serve, '127.0.0.1', 0)
     async with server:
         port = server.sockets[0].getsockname()[1]
-        yield TargetClient(clock=Clock(), host='127.0.0.1', port=port)
+        yield TargetClient(
+            clock=Clock(), host='127.0.0.1', port=port, memory=memory
+        )
 
 
 async def _send(client: TargetClient, remaining_ms: float = 10000) -> Outcome:
@@ -150,3 +162,68 @@
         tasks.cancel_scope.cancel()
     with anyio.fail_after(5):
         await target.disconnected.wait()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ('start', 'part'),
+    [
+        (b'HTTP/1.1 200 OK\r\n', b'x: y\r\n' * 1000),
+        (b'HTTP/1.1 200 OK\r\n', b'x' * 10_000),
+        (b'HTTP/1.1 200 OK\r\nx: ', b'y' * 10_000),
+        (b'HTTP/1.1 200 OK\r\n\r\n', b'y' * 100_000),
+        (
+            _CHUNKED_HEAD,
+            b'2710\r\n%s\r\n' % (b'y' * 10_000),
+        ),
+        (_CHUNKED_HEAD, b'1;%s' % (b'x' * 10_000)),
+        (b'%s0\r\n' % _CHUNKED_HEAD, b'x: y\r\n' * 1000),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        (b'', b'nonsense' * 1000),
+    ],
+)
+async def test_response_without_end_is_given_up(
+    start: bytes, part: bytes
+) -> None:
+    """A target may send bytes until its caller closes the connection.
+
+    They must not fill the memory of the node, or hold the call for its time.
+    """
+    target = _Target((start, *(part for _ in range(20_000))))
+    async with _client(target) as client:
+        with anyio.fail_after(20):
+            error = (await _send(client, 60_000)).error
+            await target.disconnected.wait()
+    assert (type(error), error.reason) == (MayHaveRun, Reason.TARGET_FAILED)
+
+
+@pytest.mark.anyio
+async def test_responses_without_end_leave_memory_to_others() -> None:
+    """Many bodies without end must not fill the memory of the node together.
+
+    A response of ordinary size beside them is delivered.
+    """
+    endless = (
+        b'HTTP/1.1 200 OK\r\n\r\n',
+        *(b'y' * 10_000 for _ in range(1000)),
+    )
+    slow = (_COMPLETE_RESPONSE[:-1], _PAUSE, _COMPLETE_RESPONSE[-1:])
+    target = _Target(slow, *(endless for _ in range(20)))
+    memory = ResponseMemory(max_bytes=1_000_000)
+    outcomes: list[Outcome] = []
+
+    async def send(client: TargetClient) -> None:
+        outcomes.append(await _send(client, 60_000))
+
+    async with _client(target, memory) as client:
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(send, client)
+                await target.request_received.wait()
+                for _ in range(20):
+                    tasks.start_soon(send, client)
+                while len(outcomes) < 20:
+                    await anyio.sleep(0.01)
+                target.resumed.set()
+    assert [outcome.is_ok() for outcome in outcomes].index(True) == 20
+    assert outcomes[-1].ok.body == b'whole'
