Count suspended time on the clock of decisions

A machine that was suspended for some seconds used deadlines, drain times and memories of its targets as if no time had passed. Cause: the clock read CLOCK_MONOTONIC, which stands still while a machine is suspended. Change: it reads CLOCK_BOOTTIME. Timers of the event loop may still fire late; what they decide is checked against the clock. Measured: test_suspended_time_counts fails before. A real suspension was not played.

--- a/src/savorystand/clock.py
+++ b/src/savorystand/clock.py
@@ -37,8 +37,12 @@
         self._loop: asyncio.AbstractEventLoop | None = None
 
     def now(self) -> float:
-        """Return monotonic time in milliseconds."""
-        return time.monotonic_ns() / _NS_PER_MS
+        """Return monotonic time in milliseconds.
+
+        It counts the time during which the machine was suspended, so that a
+        deadline or a permission that has run out meanwhile is not used.
+        """
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / _NS_PER_MS
 
     def wall_time(self) -> int:
         """Return milliseconds since the Unix epoch, for display and naming.
