Do not return a target to service while its node stops

A stopping node could send calls to a target that had left long before, and peers could send it new ones shortly before it exits. Cause: the stop set a new time until which calls are admitted, also if an earlier one had passed; an announcement of a restarted target during the stop opened admission and membership again. Change: the earliest time counts until the target announces itself again, which a stopping node ignores. Measured: both new tests of test_sidecar_shutdown.py fail before.

--- a/src/savorystand/admission/drain_deadline.py
+++ b/src/savorystand/admission/drain_deadline.py
@@ -25,8 +25,14 @@
         self._deadline_ms = None
 
     def set_after(self, ms: float) -> None:
-        """Set the deadline to ``ms`` milliseconds from now."""
-        self._deadline_ms = self._clock.now() + ms
+        """Set the deadline to ``ms`` milliseconds from now.
+
+        An earlier deadline stays: a target that has left may not get calls
+        again because its node stops later.
+        """
+        deadline_ms = self._clock.now() + ms
+        if self._deadline_ms is None or deadline_ms < self._deadline_ms:
+            self._deadline_ms = deadline_ms
 
     def has_passed(self) -> bool:
         """Return True if calls may no longer start."""
--- a/src/savorystand/admission/queue.py
+++ b/src/savorystand/admission/queue.py
@@ -100,12 +100,12 @@
         get no new calls after that; their callers can use another target.
         """
         self._drain_deadline.set_after(ms)
-
-    def close_to_new_work(self) -> None:
-        """Refuse new and waiting calls from now on."""
-        self.drain_after(0)
         self._admit_queued()
 
+    def accepts_new_work(self) -> bool:
+        """Return True while calls may start, if there is a slot."""
+        return not self._drain_deadline.has_passed()
+
     def load(self) -> TargetLoad:
         """Return the current load of the target.
 
@@ -135,7 +135,7 @@
         target is overloaded or draining.
         """
         now = self._clock.now()
-        if self._drain_deadline.has_passed():
+        if not self.accepts_new_work():
             return NotRun(reason=Reason.DRAINING)
         self._admit_queued()
         estimate = self._times.estimate(call)
@@ -254,7 +254,7 @@
     def _admit_queued(self) -> None:
         if not len(self._waiting):
             return
-        if self._drain_deadline.has_passed():
+        if not self.accepts_new_work():
             for drained in self._waiting.all():
                 self._refuse_queued(drained, NotRun(reason=Reason.DRAINING))
         while len(self._waiting) and self._slot_usage.has_free(is_long=False):
--- a/src/savorystand/dispatch/local_pool.py
+++ b/src/savorystand/dispatch/local_pool.py
@@ -36,6 +36,7 @@
         '_leave_delay_ms',
         '_left',
         '_pool',
+        '_retired',
         '_serving',
         '_slots',
         'incarnation',
@@ -54,6 +55,8 @@
         self._leave_delay_ms = leave_delay_ms
         self._pool = ''
         self._serving = False
+        # True once this node stops.
+        self._retired = False
         self._failures = 0
         self._slots = 0
         # The instance id is empty if the target announces none.
@@ -63,7 +66,7 @@
         self._left: deque[Incarnation] = deque(maxlen=_MAX_LEFT)
         # Peers may still route to an earlier process at this address, whose
         # target has left since.
-        kernel.find('admission', AdmissionQueue).close_to_new_work()
+        kernel.find('admission', AdmissionQueue).drain_after(0)
         kernel.find('tables', TablesHolder).add_observer(self._apply_tables)
 
     def serves(self, pool: str) -> bool:
@@ -103,6 +106,16 @@
             self.leaving = self.incarnation
         self._stop_serving()
 
+    def retire(self, delay_ms: float) -> None:
+        """Leave for good: the node stops, whatever its target announces.
+
+        New work is refused after ``delay_ms``.
+        """
+        self._retired = True
+        self._kernel.find('membership', MemberDirectory).leave()
+        admission = self._kernel.find('admission', AdmissionQueue)
+        admission.drain_after(delay_ms)
+
     def mark_left(
         self, incarnation: Incarnation, *, at_once: bool = False
     ) -> bool:
@@ -118,7 +131,7 @@
             self.leave()
             if at_once:
                 admission = self._kernel.find('admission', AdmissionQueue)
-                admission.close_to_new_work()
+                admission.drain_after(0)
         return True
 
     def record_unreachable(self) -> None:
@@ -141,7 +154,7 @@
 
     def _apply_tables(self, tables: Tables) -> None:
         row = tables.pool(self._pool)
-        if row is None:
+        if row is None or self._retired:
             return
         admission = self._kernel.find('admission', AdmissionQueue)
         admission.set_slots(self._slots or row.slots)
--- a/src/savorystand/node/shutdown.py
+++ b/src/savorystand/node/shutdown.py
@@ -7,9 +7,9 @@
 from savorystand.admission.queue import AdmissionQueue
 from savorystand.clock import Clock
 from savorystand.dispatch.local_pool import LEAVE_DELAY_MS
+from savorystand.dispatch.local_pool import LocalPool
 from savorystand.gateway.server import HttpListener
 from savorystand.kernel.service import Service
-from savorystand.membership.directory import MemberDirectory
 
 if TYPE_CHECKING:
     from savorystand.kernel.kernel import Kernel
@@ -23,7 +23,7 @@
     __slots__ = ('_kernel',)
 
     def __init__(self, *, kernel: Kernel) -> None:
-        """Use the membership, admission and caller listener of ``kernel``."""
+        """Use the local pool, admission and caller listener of ``kernel``."""
         self._kernel = kernel
 
     async def drain(self) -> None:
@@ -35,9 +35,9 @@
         """
         clock = self._kernel.find('clock', Clock)
         admission = self._kernel.find('admission', AdmissionQueue)
-        self._kernel.find('membership', MemberDirectory).leave()
+        self._kernel.find('local pool', LocalPool).retire(LEAVE_DELAY_MS)
         self._kernel.find('caller listener', HttpListener).stop_accepting()
         await clock.sleep(LEAVE_DELAY_MS)
-        admission.close_to_new_work()
+        admission.drain_after(0)
         while admission.in_progress():
             await clock.sleep(_POLL_INTERVAL_MS)
--- a/src/savorystand/node/sidecar_shutdown.py
+++ b/src/savorystand/node/sidecar_shutdown.py
@@ -6,9 +6,9 @@
 
 from savorystand.admission.queue import AdmissionQueue
 from savorystand.clock import Clock
+from savorystand.dispatch.local_pool import LocalPool
 from savorystand.gateway.server import HttpListener
 from savorystand.kernel.service import Service
-from savorystand.membership.directory import MemberDirectory
 from savorystand.reporting.logs import Event
 from savorystand.reporting.logs import EventLog
 from savorystand.reporting.logs import EventName
@@ -59,9 +59,7 @@
         began_ms = clock.now()
         self._stopping = True
         self._log_state('stopping')
-        self._kernel.find('membership', MemberDirectory).leave()
-        admission = self._kernel.find('admission', AdmissionQueue)
-        admission.drain_after(_PEER_NOTICE_MS)
+        self._kernel.find('local pool', LocalPool).retire(_PEER_NOTICE_MS)
         listener = self._kernel.find('caller listener', HttpListener)
         await clock.sleep(_ACCEPT_DURATION_MS)
         listener.stop_accepting()
--- a/tests/node/test_sidecar_shutdown.py
+++ b/tests/node/test_sidecar_shutdown.py
@@ -11,14 +11,19 @@
 
 from savorystand.admission.queue import AdmissionQueue
 from savorystand.admission.queue import Permit
+from savorystand.admission.rate_limit import RateLimit
 from savorystand.clock import ManualClock
+from savorystand.dispatch.local_pool import LocalPool
 from savorystand.gateway.server import HttpListener
 from savorystand.kernel.kernel import Kernel
 from savorystand.membership.directory import MemberDirectory
 from savorystand.node.sidecar_shutdown import SidecarShutdown
 from savorystand.reporting.logs import EventLog
 from savorystand.tables.holder import TablesHolder
+from savorystand.tables.pool import Pool
 from savorystand.tables.tables import Tables
+from savorystand.target_notice import Incarnation
+from savorystand.verdict import NotRun
 from tests.policy_doubles import FakeDirectory
 from tests.policy_doubles import let_tasks_run
 from tests.policy_doubles import make_call
@@ -44,6 +49,9 @@
         super().__init__([])
         self.has_left = False
 
+    def announce(self, pool: str) -> None:
+        self.has_left = False
+
     def leave(self) -> None:
         self.has_left = True
 
@@ -55,18 +63,21 @@
         self.listener = _Listener()
         self.directory = _Directory()
         self.admission = AdmissionQueue(clock=self.clock)
-        self.admission.open_to_new_work()
         self.kernel.register('clock', self.clock)
         self.kernel.register('tables', TablesHolder())
         self.kernel.register('admission', self.admission)
         self.kernel.register('membership', self.directory)
+        self.kernel.register('rate limit', RateLimit(clock=self.clock))
+        self.local_pool = LocalPool(kernel=self.kernel)
+        self.kernel.register('local pool', self.local_pool)
         log = EventLog(clock=self.clock, node_id='node')
         self.kernel.register('log', log)
         self.kernel.register('caller listener', self.listener)
         self.shutdown = SidecarShutdown(kernel=self.kernel, grace_ms=_GRACE_MS)
 
     def install(self) -> None:
-        tables = Tables(revision=1, change_id='', routes=(), pools=())
+        pool = Pool(name='refill', slots=9, connections=9)
+        tables = Tables(revision=1, change_id='', routes=(), pools=(pool,))
         self.kernel.find('tables', TablesHolder).install(tables)
 
     async def advance_ms(self, ms: int) -> None:
@@ -98,6 +109,8 @@
 async def test_request_in_progress_delays_the_exit() -> None:
     """The drain waits for a running request, within the grace period."""
     node = _Node()
+    node.install()
+    node.local_pool.announce('refill')
     permit = await node.admission.admit(make_call())
     assert isinstance(permit, Permit)
     node.listener.open_connections = 0
@@ -116,3 +129,38 @@
         await node.advance_ms(100)
         assert drained.is_set()
     assert node.clock.now() < _GRACE_MS
+
+
+async def test_announcement_does_not_return_a_stopping_node() -> None:
+    """A worker that restarts beside a stopping node must get no calls there.
+
+    Peers would send calls to a process that is about to exit.
+    """
+    node = _Node()
+    node.install()
+    node.local_pool.announce('refill')
+    node.listener.open_connections = 0
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(node.shutdown.drain)
+        await let_tasks_run()
+        restarted = Incarnation(instance='i-2', started_ms=2)
+        node.local_pool.announce('refill', incarnation=restarted)
+        assert node.directory.has_left
+        await node.advance_ms(1000)
+        assert isinstance(await node.admission.admit(make_call()), NotRun)
+        await node.advance_ms(5000)
+
+
+async def test_stop_does_not_return_a_target_that_has_left() -> None:
+    """A stopping node admits calls for a while, but to no target that left."""
+    node = _Node()
+    node.install()
+    node.local_pool.announce('refill')
+    node.listener.open_connections = 0
+    node.local_pool.leave()
+    await node.advance_ms(4000)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(node.shutdown.drain)
+        await let_tasks_run()
+        assert isinstance(await node.admission.admit(make_call()), NotRun)
+        await node.advance_ms(6000)
