Check again before a call is sent that its target may get it

A node that was paused, or waited for a connection to its target, could send a call after the time at which the leaving target gets no more. Cause: admission was checked before connecting, only the deadline after it. Change: both are checked after connecting; the refusal is not-run. Measured: test_call_is_not_sent_after_its_target_has_left fails before.

--- a/src/savorystand/gateway/target_client.py
+++ b/src/savorystand/gateway/target_client.py
@@ -17,6 +17,8 @@
 from savorystand.verdict import Reason
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from savorystand.call import Call
     from savorystand.call import Outcome
     from savorystand.clock import Clock
@@ -29,6 +31,10 @@
 _CONNECTION_ERRORS = (OSError, TargetProtocolError)
 
 
+def _always() -> bool:
+    return True
+
+
 class TargetClient:
     """Sends calls to the target and reuses its idle connections.
 
@@ -36,7 +42,15 @@
     limits the calls that run at once, and each uses one connection.
     """
 
-    __slots__ = ('_adapter', '_clock', '_host', '_idle', '_memory', '_port')
+    __slots__ = (
+        '_adapter',
+        '_clock',
+        '_host',
+        '_idle',
+        '_may_start',
+        '_memory',
+        '_port',
+    )
 
     def __init__(
         self,
@@ -46,14 +60,17 @@
         port: int,
         adapter: TargetAdapter | None = None,
         memory: ResponseMemory | None = None,
+        may_start: Callable[[], bool] = _always,
     ) -> None:
         """Create a client of the target at ``host`` and ``port``.
 
         Without ``adapter`` the target uses the ``savorystand-*`` headers; see
         ``ContextAdapter``. ``memory`` bounds the responses in progress.
+        ``may_start`` returns False once the target may get no further calls.
         """
         self._clock = clock
         self._adapter = adapter or ContextAdapter(host=f'{host}:{port}')
+        self._may_start = may_start
         self._memory = memory or ResponseMemory()
         self._host = host
         self._port = port
@@ -81,15 +98,12 @@
                     detail=f'cannot connect to the target: {exc}',
                 )
             )
+        # Connecting takes time, in which a permission may run out.
         remaining_ms = self._remaining_ms(call)
-        if remaining_ms <= 0:
+        refusal = self._late_refusal(remaining_ms)
+        if refusal is not None:
             self._release(conn)
-            return Error(
-                NotRun(
-                    reason=Reason.DEADLINE,
-                    detail='deadline passed before the request was sent',
-                )
-            )
+            return Error(refusal)
         request = self._encode_request(call, execution_id, remaining_ms)
         # From here on the target may have received a part of the request.
         try:
@@ -116,6 +130,19 @@
             self._release(conn)
         return self._adapter.outcome_of(response)
 
+    def _late_refusal(self, remaining_ms: float) -> NotRun | None:
+        if remaining_ms <= 0:
+            return NotRun(
+                reason=Reason.DEADLINE,
+                detail='deadline passed before the request was sent',
+            )
+        if not self._may_start():
+            return NotRun(
+                reason=Reason.DRAINING,
+                detail='target left before the request was sent',
+            )
+        return None
+
     def _reuse(self) -> HttpConnection | None:
         while self._idle:
             idle_since_ms, conn = self._idle.pop()
--- a/src/savorystand/node/builder.py
+++ b/src/savorystand/node/builder.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from savorystand.admission.queue import AdmissionQueue
 from savorystand.clock import Clock
 from savorystand.deduplication.key_registry import KeyRegistry
 from savorystand.deduplication.runner import KeyedRunner
@@ -77,6 +78,7 @@
             clock=kernel.find('clock', Clock),
             host=cfg.target.host,
             port=cfg.target.port,
+            may_start=kernel.find('admission', AdmissionQueue).accepts_new_work,
         ),
         **dispatch_factories(node_id),
         'keys': lambda kernel: KeyedRunner(
--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
 
     from savorystand.call import Outcome
 
@@ -80,15 +81,29 @@
         return not script or script[-1] != b''
 
 
+def _always() -> bool:
+    return True
+
+
+def _never() -> bool:
+    return False
+
+
 @asynccontextmanager
 async def _client(
-    target: _Target, memory: ResponseMemory | None = None
+    target: _Target,
+    memory: ResponseMemory | None = None,
+    may_start: Callable[[], bool] | None = None,
 ) -> AsyncIterator[TargetClient]:
     server = await asyncio.start_server(target.serve, '127.0.0.1', 0)
     async with server:
         port = server.sockets[0].getsockname()[1]
         yield TargetClient(
-            clock=Clock(), host='127.0.0.1', port=port, memory=memory
+            clock=Clock(),
+            host='127.0.0.1',
+            port=port,
+            memory=memory,
+            may_start=may_start or _always,
         )
 
 
@@ -132,6 +147,16 @@
         assert isinstance((await _send(unreachable)).error, NotRun)
 
 
+@pytest.mark.anyio
+async def test_call_is_not_sent_after_its_target_has_left() -> None:
+    """The target may leave while the client connects, or the node pauses."""
+    target = _Target((_COMPLETE_RESPONSE,))
+    async with _client(target, may_start=_never) as client:
+        refusal = (await _send(client)).error
+    assert (type(refusal), refusal.reason) == (NotRun, Reason.DRAINING)
+    assert not target.requests
+
+
 @pytest.mark.anyio
 async def test_stray_response_is_not_delivered_to_another_call() -> None:
     """A second response on a connection is not delivered to the next call."""
