--- a/src/savorystand/platform/settings.py
+++ b/src/savorystand/platform/settings.py
@@ -32,6 +32,7 @@
     AddressError,
     AttributeError,
     IndexError,
+    OverflowError,
     TypeError,
     ValueError,
 )
