Keep a rate limit over a restart of its target under the same id

A target that restarts in need could get a flood before its first response. Cause: each new incarnation removed the limit. Change: the limit stays until the new incarnation responds; another instance starts without one. Measured: test_restarted_worker_keeps_its_limit_until_it_responds fails before.

--- a/src/savorystand/admission/rate_limit.py
+++ b/src/savorystand/admission/rate_limit.py
@@ -90,10 +90,14 @@
         return self._per_second
 
     def forget(self) -> None:
-        """Remove the limit: the target has restarted or was replaced."""
+        """Remove the limit: another target has taken the place of this one."""
         self._confirmed = False
         self._set(None)
 
+    def doubt(self) -> None:
+        """Keep the limit until the target, which has restarted, responds."""
+        self._confirmed = False
+
     def assume(self, per_second: float) -> bool:
         """Apply a limit that a caller remembers, until the target responds.
 
--- a/src/savorystand/dispatch/local_pool.py
+++ b/src/savorystand/dispatch/local_pool.py
@@ -89,8 +89,11 @@
         known = (self._pool, self._slots, self.incarnation)
         if self._serving and known == (pool, slots, incarnation):
             return
-        if incarnation != self.incarnation:
-            self._kernel.find('rate limit', RateLimit).forget()
+        rate_limit = self._kernel.find('rate limit', RateLimit)
+        if incarnation.instance != self.incarnation.instance:
+            rate_limit.forget()
+        elif incarnation != self.incarnation:
+            rate_limit.doubt()
         self.incarnation = incarnation
         if incarnation in self._left:
             return
--- a/tests/platform/test_worker_notices.py
+++ b/tests/platform/test_worker_notices.py
@@ -246,3 +246,23 @@
         assert worker.requests == 0
         announcements.accept(replace(_READY, started_ms=2000, sequence=1))
         assert (await node.call(TargetHint(left=left))).is_ok()
+
+
+async def test_restarted_worker_keeps_its_limit_until_it_responds(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A worker that restarts under its id must not get a flood at once.
+
+    It may still be in need, and says nothing before its first response.
+    """
+    restarted = replace(_READY, started_ms=2000, sequence=1)
+    async with _started(monkeypatch, 'Server-Limit: 10') as (node, worker):
+        assert (await node.call()).is_ok()
+        node.kernel.find('announcements', Announcements).accept(restarted)
+        node.clock.advance(1000)
+        worker.requests = 0
+        worker.extra_headers.clear()
+        await asyncio.gather(*(node.call() for _ in range(20)))
+        assert worker.requests <= 2
+        assert (await node.call()).is_ok()
+        assert (await node.call()).is_ok()
