End the connections of test servers with their event loop

TestAdmission::runTest failed with 'AST constructor recursion depth mismatch' beside test_worker_notices.py, each time in that order, and never alone. Cause: connections that outlived their loop raised an error when collected; pytest reads source to report it, and if the collection began within the compiler, CPython 3.11 fails that compilation. Change: a test server ends its connections. The test of a cancelled call waits for the end of its connection before the server ends, which cannot hide it.

--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -22,6 +22,7 @@
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 from tests.policy_doubles import make_call
+from tests.servers import stream_server
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -95,9 +96,7 @@
     memory: ResponseMemory | None = None,
     may_start: Callable[[], bool] | None = None,
 ) -> AsyncIterator[TargetClient]:
-    server = await asyncio.start_server(target.serve, '127.0.0.1', 0)
-    async with server:
-        port = server.sockets[0].getsockname()[1]
+    async with stream_server(target.serve) as port:
         yield TargetClient(
             clock=Clock(),
             host='127.0.0.1',
@@ -181,12 +180,13 @@
 async def test_cancelled_call_closes_its_connection() -> None:
     """A cancelled call closes its connection, so that the target can stop."""
     target = _Target(())
-    async with _client(target) as client, anyio.create_task_group() as tasks:
-        tasks.start_soon(_send, client)
-        await target.request_received.wait()
-        tasks.cancel_scope.cancel()
-    with anyio.fail_after(5):
-        await target.disconnected.wait()
+    async with _client(target) as client:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_send, client)
+            await target.request_received.wait()
+            tasks.cancel_scope.cancel()
+        with anyio.fail_after(5):
+            await target.disconnected.wait()
 
 
 @pytest.mark.anyio
--- a/tests/platform/test_worker_adapter.py
+++ b/tests/platform/test_worker_adapter.py
@@ -30,6 +30,7 @@
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 from tests.policy_doubles import make_call
+from tests.servers import stream_server
 
 if TYPE_CHECKING:
     from savorystand.call import Outcome
@@ -90,9 +91,7 @@
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         writer.close()
 
-    server = await asyncio.start_server(serve, '127.0.0.1', 0)
-    async with server:
-        port = server.sockets[0].getsockname()[1]
+    async with stream_server(serve) as port:
         client = _client(port, notices or _Notices())
         outcomes = [await _send(client) for _ in range(count)]
     return outcomes, heads
@@ -120,9 +119,8 @@
             writer.writelines(script)
         writer.close()
 
-    server = await asyncio.start_server(serve, '127.0.0.1', 0)
-    async with server:
-        client = _client(server.sockets[0].getsockname()[1], _Notices())
+    async with stream_server(serve) as port:
+        client = _client(port, _Notices())
         return [await _send(client) for _ in scripts], connections
 
 
--- a/tests/platform/test_worker_notices.py
+++ b/tests/platform/test_worker_notices.py
@@ -31,6 +31,7 @@
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 from tests.policy_doubles import make_call
+from tests.servers import stream_server
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -59,7 +60,6 @@
 
     extra_headers: list[str] = field(default_factory=list)
     requests: int = 0
-    port: int = 0
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -161,10 +161,8 @@
     monkeypatch: pytest.MonkeyPatch, *extra_headers: str
 ) -> AsyncIterator[tuple[_Node, _Worker]]:
     worker = _Worker(extra_headers=list(extra_headers))
-    server = await asyncio.start_server(worker.serve, '127.0.0.1', 0)
-    async with server:
-        worker.port = server.sockets[0].getsockname()[1]
-        yield start_node(worker.port, monkeypatch), worker
+    async with stream_server(worker.serve) as port:
+        yield start_node(port, monkeypatch), worker
 
 
 @pytest.mark.parametrize('per_second', [12.5, 43])
