Add a soak of node processes under faults from outside

Change: savorystand-lab soak runs node processes beside stand-in targets and callers that keep their connections, draws kills, planned stops, pauses, reloads, rate limits, departures, garbled responses, bad links, forged announcements and changes of the configuration, and checks whole answers, at most once, refusals, rate limits, departures, cut requests and recovery.

--- a/src/savorystand/lab/application.py
+++ b/src/savorystand/lab/application.py
@@ -14,6 +14,7 @@
 from savorystand.lab.commands.platform import platform
 from savorystand.lab.commands.run import run
 from savorystand.lab.commands.slopes import slopes
+from savorystand.lab.commands.soak import soak
 from savorystand.lab.commands.targets import targets
 
 
@@ -32,4 +33,5 @@
 main.add_command(platform)
 main.add_command(run)
 main.add_command(slopes)
+main.add_command(soak)
 main.add_command(targets)
--- a/src/savorystand/lab/children.py
+++ b/src/savorystand/lab/children.py
@@ -9,9 +9,13 @@
 import threading
 import time
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import anyio
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 _CHILD_VARIABLE = 'SAVORYSTAND_LAB_CHILD'
 _POLL_INTERVAL_SECONDS = 0.02
 _KIB_PER_MIB = 1024
@@ -26,8 +30,18 @@
 
     __slots__ = ('_log', '_process', 'name')
 
-    def __init__(self, *, name: str, arguments: list[str], log: Path) -> None:
-        """Start ``savorystand-lab`` with ``arguments``; output goes to ``log``.
+    def __init__(
+        self,
+        *,
+        name: str,
+        arguments: list[str],
+        log: Path,
+        module: str = 'savorystand.lab',
+        variables: Mapping[str, str] | None = None,
+    ) -> None:
+        """Start ``module`` with ``arguments``; output goes to ``log``.
+
+        ``variables`` are added to its environment.
 
         Raises:
             OSError: the process cannot be started.
@@ -36,14 +50,14 @@
         self._log = log
         with log.open('ab') as output:
             self._process = subprocess.Popen(  # noqa: S603 - own program
-                [sys.executable, '-m', 'savorystand.lab', *arguments],
+                [sys.executable, '-m', module, *arguments],
                 stdin=subprocess.PIPE,
                 stdout=output,
                 stderr=output,
                 # A session of its own keeps Ctrl-C from the child. Only the lab
                 # receives the signal, and then stops its children.
                 start_new_session=True,
-                env={**os.environ, _CHILD_VARIABLE: '1'},
+                env={**os.environ, **(variables or {}), _CHILD_VARIABLE: '1'},
             )
 
     @property
--- a/src/savorystand/lab/http_client.py
+++ b/src/savorystand/lab/http_client.py
@@ -24,6 +24,8 @@
     httpcore.ProtocolError,
     httpcore.ConnectionNotAvailable,
 )
+# Those and the end of the time for a response.
+REQUEST_ERRORS = (*CLIENT_ERRORS, TimeoutError)
 _SOCKET_OPTIONS = ((socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),)
 
 
--- a/src/savorystand/lab/platform/listener.py
+++ b/src/savorystand/lab/platform/listener.py
@@ -70,6 +70,9 @@
                 lifespan='off',
                 log_config=None,
                 access_log=False,
+                # A listener that stops cancels the requests that wait for a
+                # change, which the library logs as errors.
+                log_level='critical',
             ),
         )
 
--- /dev/null
+++ b/src/savorystand/lab/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real node processes with faults from outside."""
--- /dev/null
+++ b/src/savorystand/lab/soak/run.py
@@ -0,0 +1,161 @@
+"""Runs a soak: node processes, their surroundings and random faults."""
+
+from __future__ import annotations
+
+import os
+import random
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import final
+
+import anyio
+
+from savorystand.clock import MS_PER_SECOND
+from savorystand.clock import Clock
+from savorystand.lab.soak.actions import draw_action
+from savorystand.lab.soak.history import History
+from savorystand.lab.soak.machine import Machine
+from savorystand.lab.soak.performer import Performer
+from savorystand.lab.soak.rules import DEADLINE_MS
+from savorystand.lab.soak.rules import counts
+from savorystand.lab.soak.rules import recovery_violations
+from savorystand.lab.soak.rules import violations
+from savorystand.lab.soak.store import SoakStore
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from anyio.abc import TaskGroup
+
+_POOLS = ('lookups', 'orders')
+_DOMAINS = 3
+_MIN_GAP_MS = 100
+_MAX_GAP_MS = 900
+# Time after the end of the last fault in which the nodes recover.
+_RECOVERY_MS = 15000
+_CALM_MS = 4000
+_START_TIMEOUT_MS = 30000
+_POLL_MS = 100
+# Second number of the addresses, which keeps runs on one machine apart.
+_FIRST_NETWORK = 100
+_NETWORKS = 100
+
+
+@final
+@dataclass(slots=True, kw_only=True)
+class SoakReport:
+    """Result of a soak; ``lag_ms`` is the longest pause of its own process.
+
+    With a long pause, times at which requests arrive are less exact than the
+    bounds that they are compared with.
+    """
+
+    seed: int
+    seconds: float
+    nodes: int
+    actions: int = 0
+    lag_ms: float = 0
+    counts: dict[str, int] = field(default_factory=dict)
+    violations: list[str] = field(default_factory=list)
+
+
+class Soak:
+    """Runs nodes under load, and faults that are drawn with a seed."""
+
+    __slots__ = (
+        '_clock',
+        '_directory',
+        '_history',
+        '_machines',
+        '_store',
+        'report',
+    )
+
+    def __init__(
+        self, *, seed: int, seconds: float, nodes: int, directory: Path
+    ) -> None:
+        """Prepare a soak; settings and logs of nodes go to ``directory``."""
+        self._clock = Clock()
+        self._directory = directory
+        self._history = History(clock=self._clock)
+        self._machines: list[Machine] = []
+        self._store = SoakStore()
+        self.report = SoakReport(seed=seed, seconds=seconds, nodes=nodes)
+
+    async def run(self) -> None:
+        """Run the soak and check what callers and targets have seen.
+
+        Raises:
+            OSError: an address is in use.
+            TimeoutError: the nodes did not become ready at the start.
+        """
+        async with AsyncExitStack() as stack:
+            tasks = await stack.enter_async_context(anyio.create_task_group())
+            stack.callback(tasks.cancel_scope.cancel)
+            await self._start(tasks, stack)
+            tasks.start_soon(self._measure_lag)
+            await self._disturb()
+            await self._clock.sleep(_RECOVERY_MS)
+            calm_ms = self._clock.now()
+            await self._clock.sleep(_CALM_MS)
+            # Requests in progress at the end are not counted as failed.
+            end_ms = calm_ms + _CALM_MS - DEADLINE_MS
+            self.report.violations = [
+                *violations(self._history),
+                *recovery_violations(self._history, calm_ms, end_ms),
+            ]
+            self.report.counts = counts(self._history)
+
+    async def _start(self, tasks: TaskGroup, stack: AsyncExitStack) -> None:
+        second = _FIRST_NETWORK + os.getpid() % _NETWORKS
+        network = f'127.{second}'
+        store = await self._store.run(f'{network}.0.1', tasks, stack)
+        seed = self.report.seed
+        for number in range(self.report.nodes):
+            host_number = number + 1
+            domain = number % _DOMAINS
+            machine = Machine(
+                number=number,
+                host=f'{network}.1.{host_number}',
+                place={
+                    'pool': _POOLS[number // _DOMAINS % len(_POOLS)],
+                    'domain': f'd{domain}',
+                    'region': f'r{domain}',
+                    'store': store.text(),
+                },
+                directory=self._directory,
+                history=self._history,
+                clock=self._clock,
+                seed=f'{seed} {number}',
+            )
+            self._machines.append(machine)
+            await machine.run(tasks, stack)
+        with anyio.fail_after(_START_TIMEOUT_MS / MS_PER_SECOND):
+            while not all(machine.is_ready() for machine in self._machines):
+                await self._clock.sleep(_POLL_MS)
+
+    async def _disturb(self) -> None:
+        rng = random.Random(self.report.seed)
+        performer = Performer(
+            machines=self._machines,
+            store=self._store,
+            history=self._history,
+            clock=self._clock,
+            rng=random.Random(self.report.seed + 1),
+        )
+        end_ms = self._clock.now() + self.report.seconds * MS_PER_SECOND
+        async with anyio.create_task_group() as tasks:
+            while self._clock.now() < end_ms:
+                await self._clock.sleep(rng.uniform(_MIN_GAP_MS, _MAX_GAP_MS))
+                action = draw_action(rng, self.report.nodes)
+                self.report.actions += 1
+                tasks.start_soon(performer.perform, action)
+
+    async def _measure_lag(self) -> None:
+        while True:
+            before_ms = self._clock.now()
+            await self._clock.sleep(_POLL_MS)
+            lag_ms = self._clock.now() - before_ms - _POLL_MS
+            self.report.lag_ms = max(self.report.lag_ms, round(lag_ms, 1))
--- /dev/null
+++ b/src/savorystand/lab/soak/target.py
@@ -0,0 +1,303 @@
+"""Stand-in target of a soak, which misbehaves on command."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+from enum import Enum
+from importlib import resources
+from string import Template
+from typing import TYPE_CHECKING
+from typing import final
+
+from savorystand.lab.http_client import REQUEST_ERRORS
+from savorystand.lab.http_client import HttpClient
+from savorystand.platform import headers as header_names
+
+if TYPE_CHECKING:
+    import random
+
+    from savorystand.clock import Clock
+    from savorystand.lab.soak.history import History
+    from savorystand.settings.node import Address
+
+# Header of requests with the number of the node at which they began.
+ORIGIN = 'x-origin'
+# Header of responses with the life of the target that sent them.
+INSTANCE = 'x-instance'
+SLOTS = 40
+ANNOUNCE_INTERVAL_MS = 400
+_ANNOUNCE_TIMEOUT_MS = 1000
+_OK = 200
+_MEAN_WORK_MS = 20
+_ENDLESS_PARTS = 400
+_PART_BYTES = 65536
+_PART = b'z' * _PART_BYTES
+_HEAD_END = b'\r\n\r\n'
+_TEMPLATE = Template(
+    resources.files('savorystand.lab.soak')
+    .joinpath('announcement.json')
+    .read_text()
+)
+
+
+@final
+class Fault(Enum):
+    """What a target does to some of its responses."""
+
+    NONE = 'none'
+    # An earlier response once more before the response.
+    REPEAT = 'repeat'
+    # The same without its request id, and as a refusal.
+    REPEAT_REFUSAL = 'repeat-refusal'
+    TRUNCATE = 'truncate'
+    ENDLESS_BODY = 'endless-body'
+    ENDLESS_HEAD = 'endless-head'
+    NONSENSE = 'nonsense'
+    REFUSE = 'refuse'
+    HANG = 'hang'
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Head:
+    """The parts of a request that a target needs."""
+
+    request_id: str
+    expected: str
+    length: int
+
+
+class Target:
+    """One target at one address, in one life after the other."""
+
+    __slots__ = (
+        '_address',
+        '_announcements',
+        '_clock',
+        '_history',
+        '_lives',
+        '_location',
+        '_rng',
+        '_running',
+        '_sequence',
+        'fault',
+        'instance',
+        'leaving',
+        'life',
+        'limit',
+        'node',
+        'silent',
+        'slowdown',
+        'started_ms',
+        'state',
+    )
+
+    def __init__(  # noqa: WPS211 - a stand-in takes what it stands between
+        self,
+        *,
+        node: int,
+        address: Address,
+        announcements: Address,
+        location: dict[str, str],
+        history: History,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Create the target beside a node.
+
+        It is reached at ``address`` and announces itself at ``announcements``.
+        ``location`` has its pool and failure domain.
+        """
+        self.node = node
+        self._address = address
+        self._announcements = HttpClient(address=announcements)
+        self._location = location
+        self._history = history
+        self._clock = clock
+        self._rng = rng
+        self._running = 0
+        self._sequence = 0
+        self._lives = 0
+        self.instance = ''
+        # Tells lives under one instance id apart.
+        self.life = ''
+        self.started_ms = 0
+        self.start_life(f'i-{node}-0')
+
+    def start_life(self, instance: str) -> None:
+        """Start again as ``instance``, without memory."""
+        self._lives += 1
+        self.instance = instance
+        self.life = f'{instance}.{self._lives}'
+        self.started_ms = max(self._clock.wall_time(), self.started_ms + 1)
+        self._sequence = 0
+        self.fault = Fault.NONE
+        self.limit = ''
+        self.leaving = False
+        # No announcements are sent.
+        self.silent = False
+        self.slowdown = float(1)
+        self.state = 'ready'
+
+    async def announce(self) -> bool:
+        """Send an announcement; return True if the node has accepted it."""
+        self._sequence += 1
+        body = _TEMPLATE.substitute(
+            self._location,
+            target=self._address.text(),
+            slots=SLOTS,
+            state=self.state,
+            sequence=self._sequence,
+            started_ms=self.started_ms,
+        )
+        path = f'/Instances.Heartbeat/{self.instance}'
+        return await self._post(path, body.encode())
+
+    async def deregister(self) -> bool:
+        """Say goodbye; return True if the node has accepted it."""
+        return await self._post(f'/Instances.Deregister/{self.instance}', b'')
+
+    async def announce_always(self) -> None:
+        """Announce this target until cancelled."""
+        while True:
+            if not self.silent:
+                await self.announce()
+            await self._clock.sleep(ANNOUNCE_INTERVAL_MS)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection."""
+        previous = b''
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = _parse_head(await reader.readuntil(_HEAD_END))
+                await reader.readexactly(head.length)
+                response = await self._answer(head)
+                if not await self._send(writer, head, response, previous):
+                    break
+                previous = response
+        writer.close()
+
+    async def _answer(self, head: Head) -> bytes:
+        life = self.life
+        refused = self._running >= SLOTS or self._draw(Fault.REFUSE)
+        if head.expected != self.instance:
+            return self._encode(head, '421 Misdirected', '')
+        self._history.arrive(head.request_id, self.node, life, ran=not refused)
+        if refused:
+            return self._encode(
+                head, '503 Refused', '', (header_names.NOT_RUN, '1')
+            )
+        self._running += 1
+        try:
+            await self._clock.sleep(
+                self.slowdown * self._rng.expovariate(1 / _MEAN_WORK_MS)
+            )
+        finally:
+            self._running -= 1
+        return self._encode(
+            head,
+            '200 OK',
+            f'{head.request_id} {life}',
+            (INSTANCE, life),
+        )
+
+    def _encode(
+        self, head: Head, status: str, body: str, *extra: tuple[str, str]
+    ) -> bytes:
+        headers = [
+            (header_names.REQUEST_ID, head.request_id),
+            (header_names.LOAD, f'{self._running},0,{SLOTS},100'),
+            ('content-length', str(len(body))),
+            *extra,
+        ]
+        self._history.name_limit(self.life, _readable(self.limit))
+        if self.limit:
+            headers.append((header_names.RATE_LIMIT, self.limit))
+        if self.leaving:
+            headers.append((header_names.LEAVING, '1'))
+        lines = [f'{name}: {text}' for name, text in headers]
+        return '\r\n'.join([f'HTTP/1.1 {status}', *lines, '', body]).encode()
+
+    async def _send(
+        self,
+        writer: asyncio.StreamWriter,
+        head: Head,
+        response: bytes,
+        previous: bytes,
+    ) -> bool:
+        """Send a response or what a fault makes of it; return False to close."""
+        match self.fault if self._rng.random() < 1 / 2 else Fault.NONE:
+            case Fault.REPEAT:
+                response = previous + response
+            case Fault.REPEAT_REFUSAL if previous:
+                response = _refusal_without_id() + response
+            case Fault.TRUNCATE:
+                writer.write(response[: -len(response) // 3])
+                return False
+            case Fault.NONSENSE:
+                writer.write(_PART)
+                return False
+            case Fault.ENDLESS_BODY:
+                start = f'HTTP/1.1 200 OK\r\nrequest-id: {head.request_id}'
+                await _flood(writer, start.encode() + _HEAD_END)
+                return False
+            case Fault.ENDLESS_HEAD:
+                await _flood(writer, b'HTTP/1.1 200 OK\r\nx: ')
+                return False
+            case Fault.HANG:
+                return True
+        writer.write(response)
+        await writer.drain()
+        return True
+
+    def _draw(self, fault: Fault) -> bool:
+        return self.fault is fault and self._rng.random() < 1 / 2
+
+    async def _post(self, path: str, body: bytes) -> bool:
+        try:
+            response = await self._announcements.send(
+                'POST', path, body=body, timeout_ms=_ANNOUNCE_TIMEOUT_MS
+            )
+        except REQUEST_ERRORS:
+            return False
+        return response.status == _OK
+
+
+def _parse_head(head: bytes) -> Head:
+    pairs = (
+        line.partition(': ') for line in head.decode('latin-1').split('\r\n')
+    )
+    headers = {name.lower(): text for name, _, text in pairs}
+    return Head(
+        request_id=headers.get(header_names.REQUEST_ID, ''),
+        expected=headers.get(header_names.EXPECTED_INSTANCE, ''),
+        length=int(headers.get('content-length', 0)),
+    )
+
+
+def _readable(limit: str) -> float | None:
+    try:
+        per_second = float(limit)
+    except ValueError:
+        return None
+    return per_second if per_second > 0 else None
+
+
+def _refusal_without_id() -> bytes:
+    lines = [
+        'HTTP/1.1 503 Refused',
+        f'{header_names.NOT_RUN}: 1',
+        'content-length: 0',
+    ]
+    return '\r\n'.join([*lines, '', '']).encode()
+
+
+async def _flood(writer: asyncio.StreamWriter, start: bytes) -> None:
+    writer.write(start)
+    for _ in range(_ENDLESS_PARTS):
+        writer.write(_PART)
+        await writer.drain()
