Take a port range that is no list of integers for malformed

A text in place of the list was read as a port of one digit. Cause: its first character was converted. Change: the first entry has to be an integer, which also covers infinite numbers. Measured: one case of test_settings.py fails before, none after.

--- a/src/savorystand/platform/settings.py
+++ b/src/savorystand/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import operator
 import tomllib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -32,7 +33,6 @@
     AddressError,
     AttributeError,
     IndexError,
-    OverflowError,
     TypeError,
     ValueError,
 )
@@ -88,7 +88,7 @@
     listen = fields['listenAddrs']
     store = parse_address(fields['platform']['address'])
     # Peers use the first port of the range, over TCP and UDP.
-    peer_port = int(fields['portRange'][0])
+    peer_port = operator.index(fields['portRange'][0])
     bounds = _parse_bounds(fields.get('bounds', ()))
     return PlatformSettings(
         node=NodeSettings(
