Report a limit or departure with the response that names it

A caller could pass on that a target leaves and not remember it: if the node beside the target ended then, the caller's later requests reached the target. Cause: responses carried a load report of up to 10 ms before. Change: a report with another limit or departure than the current ones is not used again. Measured: test_response_that_says_so_reports_the_notices fails before.

--- a/src/savorystand/dispatch/inbound.py
+++ b/src/savorystand/dispatch/inbound.py
@@ -82,12 +82,22 @@
         return route
 
     def load(self) -> TargetLoad:
-        """Return the load of the local target, at most 10 ms old."""
+        """Return the load of the local target, at most 10 ms old.
+
+        Its rate limit and departure are the current ones: the response that
+        names them may be the last that the sender gets from this node.
+        """
         now = self._clock.now()
-        if now - self._load_read_ms > _LOAD_CACHE_MS:
+        rate_limit = self._rate_limit.current()
+        leaving = self._local_pool.leaving
+        if (
+            now - self._load_read_ms > _LOAD_CACHE_MS
+            or self._load.rate_limit != rate_limit
+            or self._load.leaving is not leaving
+        ):
             self._load = self._admission.load()
-            self._load.rate_limit = self._rate_limit.current()
-            self._load.leaving = self._local_pool.leaving
+            self._load.rate_limit = rate_limit
+            self._load.leaving = leaving
             self._load_read_ms = now
         return self._load
 
--- a/tests/platform/test_worker_notices.py
+++ b/tests/platform/test_worker_notices.py
@@ -264,3 +264,18 @@
         assert worker.requests <= 2
         assert (await node.call()).is_ok()
         assert (await node.call()).is_ok()
+
+
+async def test_response_that_says_so_reports_the_notices(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A caller must remember what the response that it passes on says.
+
+    The node beside the worker may end before it can report it otherwise.
+    """
+    async with _started(monkeypatch) as (node, worker):
+        assert (await node.call()).ok.load.leaving is None
+        worker.extra_headers += ['Server-Leaving: 1', 'Server-Limit: 10']
+        load = (await node.call()).ok.load
+    left = Incarnation(instance=_READY.instance, started_ms=_READY.started_ms)
+    assert (load.leaving, load.rate_limit) == (left, 10)
