Ignore a reload while the node is starting

A node that got SIGHUP within half a second of its start ended. Cause: the default action of the signal is to end the process, and its handler was installed only after all libraries had been imported. The first milliseconds of the interpreter remain; the soak sends no reload in them.

--- a/src/savorystand/lab/sidecar.py
+++ b/src/savorystand/lab/sidecar.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
-from savorystand.lab.children import stop_with_parent
+import signal
+from importlib import import_module
+
 from savorystand.node.__main__ import main
 
 if __name__ == '__main__':
-    stop_with_parent()
+    # As in ``main``, which follows further imports here.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    import_module('savorystand.lab.children').stop_with_parent()
     main()
--- a/src/savorystand/lab/soak/machine.py
+++ b/src/savorystand/lab/soak/machine.py
@@ -43,6 +43,7 @@
 _POLL_MS = 250
 _READY_TIMEOUT_MS = 500
 _START_TIMEOUT_MS = 15000
+_INTERPRETER_START_MS = 250
 # The grace period of the settings, and some time for a busy machine.
 _STOP_TIMEOUT_MS = 7000
 _TEMPLATE = Template(
@@ -67,6 +68,7 @@
         '_restarting',
         '_served',
         '_settings',
+        '_started_ms',
         'announcements',
         'link',
         'target',
@@ -94,6 +96,7 @@
         self._history = history
         self._clock = clock
         self._child: Child | None = None
+        self._started_ms = float(0)
         self._is_ready = False
         # The last process that has been ready.
         self._served: Child | None = None
@@ -181,13 +184,18 @@
         self._history.recover(disturbance)
 
     def reload(self) -> None:
-        """Tell the process that its settings may have changed."""
+        """Tell the process that its settings may have changed.
+
+        An interpreter that has just started ends by the signal.
+        """
         disturbance = self._history.disturb(self._number, Cause.RELOAD)
-        if self._child is not None:
+        is_new = self._clock.now() - self._started_ms < _INTERPRETER_START_MS
+        if self._child is not None and not is_new:
             self._child.signal(signal.SIGHUP)
         self._history.recover(disturbance)
 
     def _start(self) -> None:
+        self._started_ms = self._clock.now()
         self._child = Child(
             name=f'node-{self._number}',
             arguments=[],
