Let several soaks run on one machine

Two soaks at a time could fail to start with 'address in use'. Cause: the network of a soak was chosen by its process id modulo 100, which two processes can share, and the port of the store was chosen by the system. Change: a soak takes the first network, in random order, whose store address no other soak listens on.

--- a/src/savorystand/lab/soak/run.py
+++ b/src/savorystand/lab/soak/run.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import random
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
@@ -41,7 +40,7 @@
 _CALM_MS = 4000
 _START_TIMEOUT_MS = 60000
 _POLL_MS = 100
-# Second number of the addresses, which keeps runs on one machine apart.
+# Second number of the addresses, which keeps soaks on one machine apart.
 _FIRST_NETWORK = 100
 _NETWORKS = 100
 
@@ -112,9 +111,11 @@
             self.report.counts = counts(self._history)
 
     async def _start(self, tasks: TaskGroup, stack: AsyncExitStack) -> None:
-        second = _FIRST_NETWORK + os.getpid() % _NETWORKS
-        network = f'127.{second}'
-        store = await self._store.run(f'{network}.0.1', tasks, stack)
+        seconds = range(_FIRST_NETWORK, _FIRST_NETWORK + _NETWORKS)
+        hosts = [f'127.{second}.0.1' for second in seconds]
+        random.shuffle(hosts)
+        store = await self._store.run(hosts, tasks, stack)
+        network = store.host.removesuffix('.0.1')
         seed = self.report.seed
         for number in range(self.report.nodes):
             host_number = number + 1
--- a/src/savorystand/lab/soak/store.py
+++ b/src/savorystand/lab/soak/store.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import AsyncExitStack
+from contextlib import suppress
 from importlib import resources
 from string import Template
 from typing import TYPE_CHECKING
@@ -17,10 +19,11 @@
 from savorystand.store.connections import ServiceConnections
 
 if TYPE_CHECKING:
-    from contextlib import AsyncExitStack
+    from collections.abc import Iterable
 
     from anyio.abc import TaskGroup
 
+_LINK_PORT = 7627
 _ROW = RowKey(table='op', key='config')
 _CONFIGURATION = Template(
     resources.files('savorystand.lab.soak')
@@ -45,14 +48,25 @@
         self.link = Link(destination=address)
 
     async def run(
-        self, host: str, tasks: TaskGroup, stack: AsyncExitStack
+        self, hosts: Iterable[str], tasks: TaskGroup, stack: AsyncExitStack
     ) -> Address:
-        """Serve in ``tasks``; return the address of the link on ``host``."""
+        """Serve in ``tasks``; return the address of the link.
+
+        It is on the first of ``hosts`` that no other soak uses.
+
+        Raises:
+            OSError: other soaks use all of them.
+        """
         await tasks.start(self._listener.run)
         await self.configure()
-        server = await asyncio.start_server(self.link.serve, host, 0)
-        await stack.enter_async_context(server)
-        return Address(host=host, port=server.sockets[0].getsockname()[1])
+        for host in hosts:
+            with suppress(OSError):
+                server = await asyncio.start_server(
+                    self.link.serve, host, _LINK_PORT
+                )
+                await stack.enter_async_context(server)
+                return Address(host=host, port=_LINK_PORT)
+        raise OSError('other soaks use all addresses')
 
     async def configure(self) -> None:
         """Write the next version of the configuration."""
