Close connections that are accepted while a listener stops

A node that was told to stop could exceed its grace period and was killed. Cause: the library closes the idle connections once when a listener stops. A connection that was being accepted then is missed, and the listener waits for as long as its client keeps it open. Change: idle connections are closed until none is left.

--- a/src/savorystand/gateway/server.py
+++ b/src/savorystand/gateway/server.py
@@ -35,6 +35,7 @@
 
 _START_POLL_SECONDS = 0.005
 _TIMEOUT_CHECK_SECONDS = 1
+_CLOSE_INTERVAL_SECONDS = 0.05
 # Idle connections are closed after this time.
 KEEP_ALIVE_SECONDS = 5
 
@@ -143,17 +144,28 @@
         self._app.close_connections()
         for server in self._server.servers:
             server.close()
-        for conn in list(self._server.server_state.connections):
-            conn.shutdown()
+        self._close_idle_connections()
 
     def connection_count(self) -> int:
         """Return the number of open connections."""
         return len(self._server.server_state.connections)
 
     async def drain(self) -> None:
-        """Wait for the requests in progress, then close all connections."""
+        """Wait for the requests in progress, then close all connections.
+
+        Connections that were being accepted when the listener closed appear
+        later, so that idle ones are closed again and again.
+        """
         self._server.stop()
-        await self._finished.wait()
+        while not self._finished.is_set():
+            self._close_idle_connections()
+            with anyio.move_on_after(_CLOSE_INTERVAL_SECONDS):
+                await self._finished.wait()
+
+    def _close_idle_connections(self) -> None:
+        # Those in use close after their response.
+        for conn in list(self._server.server_state.connections):
+            conn.shutdown()
 
     def _abort_timed_out_connections(self) -> None:
         for conn in tuple(self._server.server_state.connections):
--- a/src/savorystand/lab/soak/target.py
+++ b/src/savorystand/lab/soak/target.py
@@ -4,15 +4,21 @@
 
 import asyncio
 import contextlib
-from dataclasses import dataclass
 from enum import Enum
 from importlib import resources
 from string import Template
 from typing import TYPE_CHECKING
 from typing import final
 
+from savorystand.clock import MS_PER_SECOND
 from savorystand.lab.http_client import REQUEST_ERRORS
 from savorystand.lab.http_client import HttpClient
+from savorystand.lab.soak.target_messages import HEAD_END
+from savorystand.lab.soak.target_messages import PART
+from savorystand.lab.soak.target_messages import flood
+from savorystand.lab.soak.target_messages import parse_head
+from savorystand.lab.soak.target_messages import read_limit
+from savorystand.lab.soak.target_messages import refusal_without_id
 from savorystand.platform import headers as header_names
 
 if TYPE_CHECKING:
@@ -20,6 +26,7 @@
 
     from savorystand.clock import Clock
     from savorystand.lab.soak.history import History
+    from savorystand.lab.soak.target_messages import Head
     from savorystand.settings.node import Address
 
 # Header of requests with the number of the node at which they began.
@@ -31,10 +38,8 @@
 _ANNOUNCE_TIMEOUT_MS = 1000
 _OK = 200
 _MEAN_WORK_MS = 20
-_ENDLESS_PARTS = 400
-_PART_BYTES = 65536
-_PART = b'z' * _PART_BYTES
-_HEAD_END = b'\r\n\r\n'
+# About the time after which a kept connection is used again.
+_MAX_LATE_MS = 100
 _TEMPLATE = Template(
     resources.files('savorystand.lab.soak')
     .joinpath('announcement.json')
@@ -49,7 +54,9 @@
     NONE = 'none'
     # An earlier response once more before the response.
     REPEAT = 'repeat'
-    # The same without its request id, and as a refusal.
+    # The response once more, while the connection is idle or used again.
+    REPEAT_LATE = 'repeat-late'
+    # A refusal without request id before the response.
     REPEAT_REFUSAL = 'repeat-refusal'
     TRUNCATE = 'truncate'
     ENDLESS_BODY = 'endless-body'
@@ -59,16 +66,6 @@
     HANG = 'hang'
 
 
-@final
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Head:
-    """The parts of a request that a target needs."""
-
-    request_id: str
-    expected: str
-    length: int
-
-
 class Target:
     """One target at one address, in one life after the other."""
 
@@ -173,7 +170,7 @@
         previous = b''
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
-                head = _parse_head(await reader.readuntil(_HEAD_END))
+                head = parse_head(await reader.readuntil(HEAD_END))
                 await reader.readexactly(head.length)
                 response = await self._answer(head)
                 if not await self._send(writer, head, response, previous):
@@ -214,7 +211,7 @@
             ('content-length', str(len(body))),
             *extra,
         ]
-        self._history.name_limit(self.life, _readable(self.limit))
+        self._history.name_limit(self.life, read_limit(self.limit))
         if self.limit:
             headers.append((header_names.RATE_LIMIT, self.limit))
         if self.leaving:
@@ -234,19 +231,23 @@
             case Fault.REPEAT:
                 response = previous + response
             case Fault.REPEAT_REFUSAL if previous:
-                response = _refusal_without_id() + response
+                response = refusal_without_id() + response
+            case Fault.REPEAT_LATE:
+                delay_s = self._rng.uniform(0, _MAX_LATE_MS) / MS_PER_SECOND
+                loop = asyncio.get_running_loop()
+                loop.call_later(delay_s, _write_late, writer, response)
             case Fault.TRUNCATE:
                 writer.write(response[: -len(response) // 3])
                 return False
             case Fault.NONSENSE:
-                writer.write(_PART)
+                writer.write(PART)
                 return False
-            case Fault.ENDLESS_BODY:
+            case Fault.ENDLESS_BODY | Fault.ENDLESS_HEAD:
+                end = (
+                    HEAD_END if self.fault is Fault.ENDLESS_BODY else b'\r\nx: '
+                )
                 start = f'HTTP/1.1 200 OK\r\nrequest-id: {head.request_id}'
-                await _flood(writer, start.encode() + _HEAD_END)
-                return False
-            case Fault.ENDLESS_HEAD:
-                await _flood(writer, b'HTTP/1.1 200 OK\r\nx: ')
+                await flood(writer, start.encode() + end)
                 return False
             case Fault.HANG:
                 return True
@@ -267,37 +268,6 @@
         return response.status == _OK
 
 
-def _parse_head(head: bytes) -> Head:
-    pairs = (
-        line.partition(': ') for line in head.decode('latin-1').split('\r\n')
-    )
-    headers = {name.lower(): text for name, _, text in pairs}
-    return Head(
-        request_id=headers.get(header_names.REQUEST_ID, ''),
-        expected=headers.get(header_names.EXPECTED_INSTANCE, ''),
-        length=int(headers.get('content-length', 0)),
-    )
-
-
-def _readable(limit: str) -> float | None:
-    try:
-        per_second = float(limit)
-    except ValueError:
-        return None
-    return per_second if per_second > 0 else None
-
-
-def _refusal_without_id() -> bytes:
-    lines = [
-        'HTTP/1.1 503 Refused',
-        f'{header_names.NOT_RUN}: 1',
-        'content-length: 0',
-    ]
-    return '\r\n'.join([*lines, '', '']).encode()
-
-
-async def _flood(writer: asyncio.StreamWriter, start: bytes) -> None:
-    writer.write(start)
-    for _ in range(_ENDLESS_PARTS):
-        writer.write(_PART)
-        await writer.drain()
+def _write_late(writer: asyncio.StreamWriter, response: bytes) -> None:
+    if not writer.is_closing():
+        writer.write(response)
