End a node within its grace period whatever it waits for

A node that was told to stop could be killed before it had finished what it could finish. Cause: after the callers' requests, which have a time limit, each service is drained without one. A peer that is paused, or has gone silent, and does not read its responses holds the stop up. Change: services that are not drained 200 ms before the end of the grace period are stopped, and named in the log; the others are drained as before.

--- a/src/savorystand/kernel/kernel.py
+++ b/src/savorystand/kernel/kernel.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 from typing import TypeAlias
@@ -9,7 +10,9 @@
 from typing import cast
 
 import anyio
+from logbook import Logger
 
+from savorystand.clock import MS_PER_SECOND
 from savorystand.clock import Clock
 from savorystand.kernel.errors import ServiceExistsError
 from savorystand.kernel.errors import ServiceMissingError
@@ -21,6 +24,7 @@
     from anyio.abc import TaskStatus
 
 _ServiceT = TypeVar('_ServiceT')
+_log = Logger('savorystand')
 
 
 class Kernel:
@@ -29,11 +33,28 @@
     Services start in the order of registration and stop in reverse order.
     """
 
-    __slots__ = ('_checked_types', '_clock', '_order', '_scopes', '_services')
+    __slots__ = (
+        '_checked_types',
+        '_clock',
+        '_order',
+        '_scopes',
+        '_services',
+        '_stop_timeout_ms',
+    )
 
-    def __init__(self, *, clock: Clock | None = None) -> None:
-        """Create an empty registry; ``clock`` times restarts of services."""
+    def __init__(
+        self,
+        *,
+        clock: Clock | None = None,
+        stop_timeout_ms: float = math.inf,
+    ) -> None:
+        """Create an empty registry; ``clock`` times restarts of services.
+
+        Services that are not drained ``stop_timeout_ms`` after the stop began
+        are stopped with their work unfinished.
+        """
         self._clock = clock or Clock()
+        self._stop_timeout_ms = stop_timeout_ms
         self._services: dict[str, object] = {}
         self._order: list[str] = []
         # Names are looked up on each call, and ``isinstance`` with a protocol
@@ -118,8 +139,15 @@
             await supervisor.run(task_status=task_status)
 
     async def _stop_all(self) -> None:
+        deadline = anyio.current_time() + self._stop_timeout_ms / MS_PER_SECOND
         for name, service in reversed(self._runnable_services()):
-            await service.drain()
+            scope = anyio.CancelScope(deadline=deadline)
+            with scope:
+                await service.drain()
+            if scope.cancelled_caught:
+                _log.warning(
+                    'level=warning event=service-not-drained service="{}"', name
+                )
             self._scopes[name].cancel()
 
 
--- a/src/savorystand/node/sidecar.py
+++ b/src/savorystand/node/sidecar.py
@@ -60,6 +60,8 @@
 # The platform's clients keep idle connections for as long as the operators'
 # limits allow; the node must not close one before its client does.
 _KEEP_ALIVE_TIMEOUT_SECONDS = 300
+# Part of the grace period that is left for the end of the process.
+_EXIT_TIME_MS = 200
 
 
 def build_sidecar(cfg: PlatformSettings, *, node_id: str) -> Kernel:
@@ -101,7 +103,7 @@
         ),
         **_listener_factories(cfg),
     }
-    kernel = Kernel()
+    kernel = Kernel(stop_timeout_ms=cfg.grace_ms - _EXIT_TIME_MS)
     for name, factory in factories.items():
         kernel.register(name, factory(kernel))
     return kernel
