Forget a call that is cancelled before it starts

A node that was told to stop waited until its grace period ended, and a peer could lose all its streams on a connection. Cause: a call and its cancellation that arrive together cancel the task of the call before its first step, so that the clean-up in it never runs and the stream counts as running for as long as the connection lasts; 4,096 of them refuse each further call. Change: the stream is forgotten when its cancelled task is done. The only other task of this kind, of a caller's connection, is cancelled with its connection. Measured: test_call_cancelled_at_once_is_forgotten fails before.

--- a/src/savorystand/transport/server.py
+++ b/src/savorystand/transport/server.py
@@ -139,6 +139,8 @@
         task = self._calls.get(stream_id)
         if task is not None:
             task.cancel()
+            # A task that has not started yet never gets to its own clean-up.
+            task.add_done_callback(lambda _: self._calls.pop(stream_id, None))
 
     def _start_call(self, start: Message, body: bytes) -> None:
         route = self._inbound.route(start.route)
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -1,7 +1,8 @@
 """Tests of calls on connections that fail.
 
 They guard against a wrong verdict, a response that reaches another caller and a
-truncated response after a connection breaks or goes silent.
+truncated response after a connection breaks or goes silent, and against calls
+that are never forgotten.
 """
 
 from __future__ import annotations
@@ -29,10 +30,13 @@
 from savorystand.transport.address import PeerAddress
 from savorystand.transport.connection import PeerConnection
 from savorystand.transport.connection import monitor_silence
+from savorystand.transport.conversion import call_frame
 from savorystand.transport.server import ServerConnection
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
+from savorystand.wire.codec import encode_frame
+from savorystand.wire.gen.wire import ttypes
 from tests.streams import faulty_pair
 
 if TYPE_CHECKING:
@@ -178,3 +182,32 @@
     outcomes = anyio.run(_run_calls, [10, 20], target, faults)
     for outcome in outcomes.values():
         assert outcome.error == MayHaveRun(reason=Reason.CONNECTION_LOST)
+
+
+def test_call_cancelled_at_once_is_forgotten() -> None:
+    """A call that is cancelled before it starts must not count as running.
+
+    The server would wait for it when it stops, and refuse all calls of the peer
+    after some thousand of them.
+    """
+    assert not anyio.run(_is_busy_after_cancelled_call)
+
+
+async def _is_busy_after_cancelled_call() -> bool:
+    clock = Clock()
+    client_end, server_end = faulty_pair()
+    target = RecordingTarget(refused_paths=frozenset())
+    server = ServerConnection(
+        clock=clock, inbound=target, control=IgnoredControl()
+    )
+    now = clock.now()
+    start = call_frame(_make_call(1, 10, now + 5000), 1, now)
+    cancel = ttypes.Frame(cancel=ttypes.Cancel(stream=1))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.run, server_end)
+        await client_end.send(encode_frame(start) + encode_frame(cancel))
+        await anyio.wait_all_tasks_blocked()
+        is_busy = server.busy()
+        tasks.cancel_scope.cancel()
+    assert not target.served_paths
+    return is_busy
