Do not report a process that was killed as one that ended by itself

Cause: a check of the soak itself. A planned stop that is drawn while the killed process has not been started again reads the exit code of that process, and compared only kills after the stop began. Change: kills are recorded for each process instead of being counted, so that any other process that ends by a signal is still reported.

--- a/src/savorystand/lab/soak/machine.py
+++ b/src/savorystand/lab/soak/machine.py
@@ -63,7 +63,7 @@
         '_history',
         '_host',
         '_is_ready',
-        '_kills',
+        '_killed',
         '_number',
         '_restarting',
         '_served',
@@ -102,7 +102,8 @@
         self._served: Child | None = None
         # Commands in progress that end the process.
         self._ending = 0
-        self._kills = 0
+        # The last process to which SIGKILL was sent.
+        self._killed: Child | None = None
         self._restarting = anyio.Lock()
         self.announcements = self._address(_ANNOUNCEMENT_PORT)
         self.target = Target(
@@ -163,7 +164,6 @@
     async def kill(self, down_ms: float) -> None:
         """Kill the process and start it again."""
         disturbance = self._history.disturb(self._number, Cause.KILL)
-        self._kills += 1
         await self._end_and_restart(signal.SIGKILL, down_ms)
         self._history.recover(disturbance)
 
@@ -216,7 +216,8 @@
 
     async def _end(self, child: Child, number: signal.Signals) -> None:
         start_ms = self._clock.now()
-        kills = self._kills
+        if number == signal.SIGKILL:
+            self._killed = child
         child.signal(number)
         if not await child.wait(_STOP_TIMEOUT_MS / MS_PER_SECOND):
             # The platform kills a process that exceeds the grace period.
@@ -225,14 +226,13 @@
                 self._number, start_ms, kill.start_ms
             ):
                 self._history.exits.append((self._number, None))
-            self._kills += 1
+            self._killed = child
         child.kill()
-        was_killed = number == signal.SIGKILL or kills != self._kills
         # A process that has not served yet need not handle the signal.
         is_clean = not child.exit_code or (
             child is not self._served and child.exit_code == -number
         )
-        if not was_killed and not is_clean:
+        if child is not self._killed and not is_clean:
             self._history.exits.append((self._number, child.exit_code))
 
     async def _restart(self, ended: Child | None, down_ms: float) -> None:
