Ignore signals that come after the stop of a node

A node that had stopped could end with code -1 instead of 0. Cause: the receiver of signals is closed once all services have stopped, which restores their default action while the process still exits. A reload or a second stop then looks like a crash. Change: the signals are blocked before the receiver is closed.

--- a/src/savorystand/node/sidecar_application.py
+++ b/src/savorystand/node/sidecar_application.py
@@ -32,6 +32,7 @@
 # Collections of a generation that start one of the next older generation.
 _GC_GENERATION_THRESHOLD = 20
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+_SIGNALS = (*_STOP_SIGNALS, signal.SIGHUP)
 
 
 def main() -> None:
@@ -59,7 +60,7 @@
 
 async def _run(cfg: PlatformSettings, path: Path) -> None:
     stop = anyio.Event()
-    with anyio.open_signal_receiver(*_STOP_SIGNALS, signal.SIGHUP) as signals:
+    with anyio.open_signal_receiver(*_SIGNALS) as signals:
         kernel = build_sidecar(cfg, node_id=new_node_id())
         log = kernel.find('log', EventLog)
         async with anyio.create_task_group() as tasks:
@@ -81,6 +82,8 @@
     kernel: Kernel, stop: anyio.Event, scope: anyio.CancelScope
 ) -> None:
     await kernel.run(stop)
+    # Once their receiver is closed, the signals would end the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
     scope.cancel()
 
 
