Send a reload in the soak once the process survives it

Cause: the soak allowed 250 ms for the start of an interpreter, in which SIGHUP ends a process before any of its code runs. On a busy machine it takes longer. Change: the signal is sent if the process handles, ignores or blocks it, as its status tells. Nothing that the program itself can do is excused any more.

--- a/src/savorystand/lab/children.py
+++ b/src/savorystand/lab/children.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import signal
 import subprocess  # noqa: S404 - the lab starts processes, nodes do not
 import sys
@@ -23,6 +24,7 @@
 # of the process ID, shifted, and the kind of clock.
 _CLOCK_ID_SHIFT = 3
 _CPUCLOCK_SCHED = 2
+_HEXADECIMAL = 16
 
 
 class Child:
@@ -74,6 +76,17 @@
         """Return the output of the process so far."""
         return self._log.read_text(errors='replace')
 
+    def survives(self, number: signal.Signals) -> bool:
+        """Return True if the process handles, ignores or blocks a signal."""
+        if not self.running:
+            return False
+        pid = self._process.pid
+        status = Path(f'/proc/{pid}/status').read_text()
+        masks = re.findall('^Sig(?:Blk|Ign|Cgt):(.*)', status, re.MULTILINE)
+        return any(
+            int(mask, base=_HEXADECIMAL) >> (number - 1) & 1 for mask in masks
+        )
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         if self.running:
--- a/src/savorystand/lab/soak/machine.py
+++ b/src/savorystand/lab/soak/machine.py
@@ -43,7 +43,6 @@
 _POLL_MS = 250
 _READY_TIMEOUT_MS = 500
 _START_TIMEOUT_MS = 15000
-_INTERPRETER_START_MS = 250
 # The grace period of the settings, and some time for a busy machine.
 _STOP_TIMEOUT_MS = 7000
 _TEMPLATE = Template(
@@ -68,7 +67,6 @@
         '_restarting',
         '_served',
         '_settings',
-        '_started_ms',
         'announcements',
         'link',
         'target',
@@ -96,7 +94,6 @@
         self._history = history
         self._clock = clock
         self._child: Child | None = None
-        self._started_ms = float(0)
         self._is_ready = False
         # The last process that has been ready.
         self._served: Child | None = None
@@ -186,16 +183,15 @@
     def reload(self) -> None:
         """Tell the process that its settings may have changed.
 
-        An interpreter that has just started ends by the signal.
+        An interpreter that has just started would end by the signal.
         """
         disturbance = self._history.disturb(self._number, Cause.RELOAD)
-        is_new = self._clock.now() - self._started_ms < _INTERPRETER_START_MS
-        if self._child is not None and not is_new:
-            self._child.signal(signal.SIGHUP)
+        child = self._child
+        if child is not None and child.survives(signal.SIGHUP):
+            child.signal(signal.SIGHUP)
         self._history.recover(disturbance)
 
     def _start(self) -> None:
-        self._started_ms = self._clock.now()
         self._child = Child(
             name=f'node-{self._number}',
             arguments=[],
