Bound the length of the host in a member record

Cause: an IPv6 number may carry a zone of any length, and such a record, as the newest update, exceeds a datagram and holds the older updates back. Change: a longer host than 64 characters is malformed. Measured: test_long_zone_of_an_address_is_malformed fails before.

--- a/src/savorystand/membership/conversion.py
+++ b/src/savorystand/membership/conversion.py
@@ -24,6 +24,8 @@
 # Bound of times, versions and revisions in records.
 MAX_NUMBER = 0x3FFFFFFFFFFFFFFF
 _MAX_PORT = 65535
+# The longest IPv6 number with a zone, whose name is that of an interface.
+_MAX_HOST_LENGTH = 64
 
 
 def encode_member(member: Member) -> Message:
@@ -85,6 +87,11 @@
     """
     require_fields(record)
     check_node_id(record.node_id)
+    if len(record.host) > _MAX_HOST_LENGTH:
+        raise FrameError(
+            f'host of a member has {len(record.host)} characters,'
+            f' limit {_MAX_HOST_LENGTH}'
+        )
     try:
         ipaddress.ip_address(record.host)
     except ValueError as exc:
--- a/tests/membership/test_bounds.py
+++ b/tests/membership/test_bounds.py
@@ -10,18 +10,21 @@
 
 import random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from savorystand.clock import ManualClock
 from savorystand.membership.allowance import BYTES_PER_SECOND
 from savorystand.membership.conversion import MAX_NAME_BYTES
+from savorystand.membership.conversion import decode_address
 from savorystand.membership.conversion import encode_member
 from savorystand.membership.member import Member
 from savorystand.membership.member import MemberState
 from savorystand.membership.outgoing import Outgoing
 from savorystand.membership.records import MemberRecords
 from savorystand.transport.address import PeerAddress
+from savorystand.wire.codec import FrameError
 from savorystand.wire.codec import encode_struct
 from savorystand.wire.gen.wire import ttypes
 from tests.membership.fake_network import BASE_PORT
@@ -46,6 +49,7 @@
 
 
 GOSSIP = _gossip()
+_LONG_ZONE = 'x' * 1400
 
 
 @given(
@@ -148,3 +152,12 @@
         outgoing.disseminate(1)
     sent_per_second = sum(map(len, sent)) / 2
     assert BYTES_PER_SECOND < sent_per_second < 16000
+
+
+def test_long_zone_of_an_address_is_malformed() -> None:
+    """A record that no datagram can carry would hold all others back."""
+    record = ttypes.ProbeRequest(
+        sequence=1, node_id='a' * 16, host=f'fe80::1%{_LONG_ZONE}', port=1
+    )
+    with pytest.raises(FrameError, match='1408 characters'):
+        decode_address(record)
