Ignore the notices of a response that names two requests

Cause: a response with the ids of two requests is not believed, but its rate limit and departure were: one matching id was enough for them. Change: the same rule, that all ids have to be that of the request. Measured: the new case of test_notices_of_other_responses_are_ignored fails before.

--- a/src/savorystand/platform/worker_adapter.py
+++ b/src/savorystand/platform/worker_adapter.py
@@ -127,7 +127,7 @@
     ) -> None:
         if status == _MISDIRECTED or not request_id:
             return
-        if (header_names.REQUEST_ID, request_id) not in headers:
+        if _named_requests(headers) != {request_id}:
             return
         leaving_flags = _split_values(headers, header_names.LEAVING)
         self._notices.receive(
@@ -144,12 +144,16 @@
     headers: Headers, request_id: str, *, is_first: bool
 ) -> bool:
     # A worker cannot name a request that has no id.
-    named = {text for name, text in headers if name == header_names.REQUEST_ID}
+    named = _named_requests(headers)
     if named - {''}:
         return named == {request_id}
     return is_first or not request_id
 
 
+def _named_requests(headers: Headers) -> set[str]:
+    return {text for name, text in headers if name == header_names.REQUEST_ID}
+
+
 def _rate_statement(headers: Headers) -> RateStatement:
     # The lowest one counts if a response names several limits.
     texts = _split_values(headers, header_names.RATE_LIMIT)
--- a/tests/platform/test_worker_adapter.py
+++ b/tests/platform/test_worker_adapter.py
@@ -253,6 +253,7 @@
     [
         _response('other', '', 'Server-Limit: 1', 'Server-Leaving: 1'),
         _response('', '', 'Server-Limit: 1').replace(b'Request-Id: \r\n', b''),
+        _response('mine', '', 'Request-Id: other', 'Server-Limit: 1'),
         b'HTTP/1.1 100 Continue\r\nServer-Limit: 1\r\n\r\n',
     ],
 )
