Name the parts of the soak's addresses

Cause: 'seconds' stood for the second numbers of addresses, in a module that also has times; a module header did not cover what the module holds. Measured: nothing that runs has changed.

--- a/src/savorystand/lab/soak/run.py
+++ b/src/savorystand/lab/soak/run.py
@@ -111,8 +111,8 @@
             self.report.counts = counts(self._history)
 
     async def _start(self, tasks: TaskGroup, stack: AsyncExitStack) -> None:
-        seconds = range(_FIRST_NETWORK, _FIRST_NETWORK + _NETWORKS)
-        hosts = [f'127.{second}.0.1' for second in seconds]
+        numbers = range(_FIRST_NETWORK, _FIRST_NETWORK + _NETWORKS)
+        hosts = [f'127.{number}.0.1' for number in numbers]
         random.shuffle(hosts)
         store = await self._store.run(hosts, tasks, stack)
         network = store.host.removesuffix('.0.1')
--- a/src/savorystand/lab/soak/target_messages.py
+++ b/src/savorystand/lab/soak/target_messages.py
@@ -1,4 +1,4 @@
-"""Requests and malformed responses as a stand-in target of a soak sees them."""
+"""What a stand-in target of a soak reads, and what it writes on command."""
 
 from __future__ import annotations
 
