Log where a configuration came from and which one decided a request

Change: tables-received names source, row version, position and use of each configuration, tables-rejected why one is refused, route-missing the revision behind a 404, and dependency-changed of the configuration how long its feed was silent. Fakes of three tests register the log that the code now writes to; no check changed.

--- a/src/savorystand/platform/ingress.py
+++ b/src/savorystand/platform/ingress.py
@@ -18,6 +18,9 @@
 from savorystand.gateway.contexts import parse_deadline_ms
 from savorystand.gateway.refusals import refusal_body
 from savorystand.platform import headers as header_names
+from savorystand.reporting.events import route_missing
+from savorystand.reporting.logs import EventLog
+from savorystand.reporting.logs import EventName
 from savorystand.routing.splits import SplitChooser
 from savorystand.tables.holder import TablesHolder
 from savorystand.verdict import MayHaveRun
@@ -55,6 +58,7 @@
 
     __slots__ = (
         '_dispatcher',
+        '_log',
         '_parents',
         '_service',
         '_splits',
@@ -67,6 +71,7 @@
     def __init__(self, *, kernel: Kernel, service: str) -> None:
         """Serve requests that originate on the machine of ``service``."""
         self.clock = kernel.find('clock', Clock)
+        self._log = kernel.find('log', EventLog)
         self._dispatcher = kernel.find('dispatcher', Dispatcher)
         self._parents = kernel.find('parents', ParentInference)
         self._tables = kernel.find('tables', TablesHolder)
@@ -99,6 +104,12 @@
         route = tables.match_host(host.lower(), request.path)
         request_id = first_values.get(header_names.REQUEST_ID, '')
         if route is None:
+            self._log.write_lazily(
+                EventName.ROUTE_MISSING,
+                lambda: route_missing(
+                    request_id, request.path, tables.revision
+                ),
+            )
             refusal = NotRun(reason=Reason.NO_ROUTE, detail=request.path)
             return _refusal_response(refusal, request_id)
         remaining_ms = parse_deadline_ms(
--- a/src/savorystand/reporting/events.py
+++ b/src/savorystand/reporting/events.py
@@ -11,10 +11,14 @@
 if TYPE_CHECKING:
     from savorystand.admission.rate_limit import RateUsage
     from savorystand.membership.member import Member
+    from savorystand.tables.document import TablesDocument
     from savorystand.tables.tables import Tables
     from savorystand.target_notice import Incarnation
     from savorystand.transport.address import PeerAddress
 
+# Texts of callers, peers and other writers may be long.
+_MAX_PROBLEM_CHARS = 256
+
 
 def member_changed(member: Member) -> Event:
     """Return the event of a new member or a change of a member's state."""
@@ -54,7 +58,56 @@
     )
 
 
-def dependency_changed(dependency: str, state: str, detail: str) -> Event:
+def tables_received(
+    document: TablesDocument,
+    *,
+    used: bool,
+    source: str,
+    position: int | None = None,
+) -> Event:
+    """Return the event of a document that was read or received.
+
+    ``source`` is 'store', or the node id of a peer. ``position`` is that of
+    the feed after the read, None for a peer. ``used`` is False if the document
+    is not newer than the tables in force, or cannot be parsed.
+    """
+    extra = [
+        ('revision', str(document.revision)),
+        ('change_id', document.change_id),
+        ('source', source),
+        ('used', 'yes' if used else 'no'),
+    ]
+    if position is not None:
+        extra.append(('position', str(position)))
+    return Event(name=EventName.TABLES_RECEIVED, extra=tuple(extra))
+
+
+def tables_rejected(document: TablesDocument, problem: str) -> Event:
+    """Return the event of a document that cannot be parsed."""
+    return Event(
+        name=EventName.TABLES_REJECTED,
+        level=Level.WARNING,
+        detail=problem[:_MAX_PROBLEM_CHARS],
+        extra=(
+            ('revision', str(document.revision)),
+            ('change_id', document.change_id),
+        ),
+    )
+
+
+def route_missing(request_id: str, path: str, revision: int) -> Event:
+    """Return the event of a request that no route of ``revision`` matches."""
+    return Event(
+        name=EventName.ROUTE_MISSING,
+        request_id=request_id[:_MAX_PROBLEM_CHARS],
+        detail=path[:_MAX_PROBLEM_CHARS],
+        extra=(('revision', str(revision)),),
+    )
+
+
+def dependency_changed(
+    dependency: str, state: str, detail: str, *extra: tuple[str, str]
+) -> Event:
     """Return the event of a dependency that changed its ``state``.
 
     ``state`` is 'reached', 'lost' or 'regained'; 'lost' is a warning.
@@ -63,7 +116,7 @@
         name=EventName.DEPENDENCY_CHANGED,
         level=Level.WARNING if state == 'lost' else Level.NOTICE,
         detail=detail,
-        extra=(('dependency', dependency), ('state', state)),
+        extra=(('dependency', dependency), ('state', state), *extra),
     )
 
 
--- a/src/savorystand/reporting/logs.py
+++ b/src/savorystand/reporting/logs.py
@@ -36,6 +36,7 @@
     """All event names; a fixed set, which bounds the memory for rate limits."""
 
     CALL_REFUSED = 'call-refused'
+    ROUTE_MISSING = 'route-missing'
     CALL_FAILED = 'call-failed'
     ATTEMPT_REFUSED = 'attempt-refused'
     ADMISSION_REFUSED = 'admission-refused'
@@ -43,6 +44,8 @@
     CONNECTION_LOST = 'connection-lost'
     MEMBER_CHANGED = 'member-changed'
     TABLES_INSTALLED = 'tables-installed'
+    TABLES_RECEIVED = 'tables-received'
+    TABLES_REJECTED = 'tables-rejected'
     DEPENDENCY_CHANGED = 'dependency-changed'
     TARGET_CHANGED = 'target-changed'
     RATE_LIMIT_CHANGED = 'rate-limit-changed'
--- a/src/savorystand/tables/feed_reader.py
+++ b/src/savorystand/tables/feed_reader.py
@@ -7,6 +7,7 @@
 
 from savorystand.clock import Clock
 from savorystand.reporting.events import dependency_changed
+from savorystand.reporting.events import tables_received
 from savorystand.reporting.logs import EventLog
 from savorystand.store.errors import HistoryLostError
 from savorystand.store.errors import StoreError
@@ -50,7 +51,15 @@
 class FeedReader:
     """Reads the configuration once, then follows its changes."""
 
-    __slots__ = ('_clock', '_feed', '_log', '_rng', '_reachable', '_tables')
+    __slots__ = (
+        '_answered_ms',
+        '_clock',
+        '_feed',
+        '_log',
+        '_rng',
+        '_reachable',
+        '_tables',
+    )
 
     def __init__(
         self,
@@ -67,6 +76,7 @@
         self._tables = tables
         self._rng = rng
         self._reachable = True
+        self._answered_ms = self._clock.now()
 
     async def run(self) -> None:
         """Follow the feed until cancelled; failed reads are retried."""
@@ -90,8 +100,14 @@
         else:
             document, position = await self._feed.changes(position)
         self._record_reachability(reachable=True, detail='')
+        self._answered_ms = self._clock.now()
         if document is not None:
-            self._tables.install(document)
+            used = self._tables.install(document)
+            self._log.write(
+                tables_received(
+                    document, used=used, source='store', position=position
+                )
+            )
         return position
 
     def _record_reachability(self, *, reachable: bool, detail: str) -> None:
@@ -99,4 +115,9 @@
             return
         self._reachable = reachable
         state = 'regained' if reachable else 'lost'
-        self._log.write(dependency_changed('configuration', state, detail))
+        silent_ms = round(self._clock.now() - self._answered_ms)
+        self._log.write(
+            dependency_changed(
+                'configuration', state, detail, ('silent_ms', str(silent_ms))
+            )
+        )
--- a/src/savorystand/tables/follower.py
+++ b/src/savorystand/tables/follower.py
@@ -15,6 +15,9 @@
 from savorystand.clock import Clock
 from savorystand.kernel.service import Service
 from savorystand.membership.directory import MemberDirectory
+from savorystand.reporting.events import tables_received
+from savorystand.reporting.events import tables_rejected
+from savorystand.reporting.logs import EventLog
 from savorystand.tables.document import TablesDocument
 from savorystand.tables.feed_reader import FeedReader
 from savorystand.tables.holder import TablesHolder
@@ -174,7 +177,10 @@
         document = self._puller.accept(frame.tables_push)
         if document is not None:
             self._puller.drop_peer()
-            self.install(document)
+            used = self.install(document)
+            self._log().write(
+                tables_received(document, used=used, source=peer.node_id)
+            )
         if self._puller.peer is None:
             return None
         return self._puller.request(self.revision())
@@ -185,8 +191,9 @@
             return False
         try:
             tables = self._parse(document)
-        except ValueError:
+        except ValueError as exc:
             self._rejected_revision = document.revision
+            self._log().write(tables_rejected(document, str(exc)))
             return False
         if not self._holder.install(tables):
             return False
@@ -204,6 +211,9 @@
             tasks.start_soon((self._feed_reader or self.reader).run)
             task_status.started()
 
+    def _log(self) -> EventLog:
+        return self._kernel.find('log', EventLog)
+
     async def _follow_peers(self, transport: PeerTransport) -> None:
         while True:
             await self._pull_needed.wait()
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -21,6 +21,7 @@
 from savorystand.kernel.kernel import Kernel
 from savorystand.membership.member import MemberState
 from savorystand.membership.membership import Membership
+from savorystand.reporting.logs import EventLog
 from savorystand.settings.node import Address
 from savorystand.settings.node import NodeSettings
 from savorystand.tables.document import TablesDocument
@@ -105,6 +106,7 @@
     kernel.register('clock', Clock())
     kernel.register('network', Network())
     kernel.register('tables', TablesHolder())
+    kernel.register('log', EventLog(clock=Clock(), node_id='aa'))
     kernel.register(
         'datagram authenticator', DatagramAuthenticator(admin_key='k')
     )
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -20,6 +20,7 @@
 from savorystand.gateway.contexts import Request
 from savorystand.kernel.kernel import Kernel
 from savorystand.platform.ingress import Ingress
+from savorystand.reporting.logs import EventLog
 from savorystand.retry.executions import ExecutionRegistry
 from savorystand.tables.holder import TablesHolder
 from savorystand.tables.route import Route
@@ -73,6 +74,7 @@
         self.tables = TablesHolder()
         kernel.register('clock', ManualClock(now=1000))
         kernel.register('tables', self.tables)
+        kernel.register('log', EventLog(clock=ManualClock(), node_id='aa'))
         kernel.register('executions', ExecutionRegistry())
         kernel.register('parents', ParentInference(kernel=kernel))
         kernel.register('dispatcher', self.dispatcher)
--- a/tests/tables/test_feed_reader.py
+++ b/tests/tables/test_feed_reader.py
@@ -13,6 +13,7 @@
 
 from savorystand.kernel.kernel import Kernel
 from savorystand.reporting.logs import EventLog
+from savorystand.reporting.logs import EventName
 from savorystand.store.errors import HistoryLostError
 from savorystand.store.errors import StoreUnavailableError
 from savorystand.tables.document import TablesDocument
@@ -63,9 +64,10 @@
     def __init__(self) -> None:
         self.installed: list[int] = []
 
-    def install(self, document: TablesDocument) -> None:
+    def install(self, document: TablesDocument) -> bool:
         """Record the revision."""
         self.installed.append(document.revision)
+        return True
 
 
 class _Log(EventLog):
@@ -74,7 +76,8 @@
 
     def write(self, event: Event) -> None:
         """Record the state of the dependency."""
-        self.states.append(dict(event.extra)['state'])
+        if event.name is EventName.DEPENDENCY_CHANGED:
+            self.states.append(dict(event.extra)['state'])
 
 
 async def _run_reader(feed: _Feed) -> tuple[list[int], list[str], float]:
--- a/tests/tables/test_follower.py
+++ b/tests/tables/test_follower.py
@@ -19,6 +19,7 @@
 from savorystand.kernel.kernel import Kernel
 from savorystand.membership.member import Member
 from savorystand.membership.member import MemberState
+from savorystand.reporting.logs import EventLog
 from savorystand.store.errors import StoreUnavailableError
 from savorystand.tables.document import TablesDocument
 from savorystand.tables.follower import TablesFollower
@@ -140,6 +141,7 @@
     kernel = Kernel()
     kernel.register('clock', ManualClock())
     kernel.register('tables', TablesHolder())
+    kernel.register('log', EventLog(clock=ManualClock(), node_id='aa'))
     kernel.register('membership', membership)
     return TablesFollower(
         kernel=kernel, parse=parse, source=source, rng=random.Random(1)
