Ask the store anew when its feed is late

What callers saw: with all connections silent, requests went by a configuration that had been replaced longer ago than a change may take. Cause: a feed request waits 8 s at the store and was given up after 9.5 s, so that only the keep-alive of the kernel, after 3 s and a delay, ended one that was lost; a connect that met a cut was repeated by the kernel after 1, 2 and 4 s. Each is longer than the 2.5 s in which a change has to be in force, and all feeds are lost together, so that gossip has nothing to pass on. Change: a feed request waits two fifths of that time. One that is late by a fifth of it is repeated on another connection, and so on, beside the late one; the first answer counts. The first request stays up to 9.5 s, so that a slow store is still read. Evidence: the new test fails on the code before (three cases, the change not installed after 2.5 s) and passes now. The end of a task group wraps the end mark of one test, which now expects just that.

--- a/src/savorystand/console/commands/tables_show.py
+++ b/src/savorystand/console/commands/tables_show.py
@@ -121,7 +121,7 @@
     connections = ServiceConnections(address=parse_address(store), key='')
     rows = RowClient(connections=connections)
     try:
-        document, _ = await StoredConfiguration(rows=rows, feed=rows).newest()
+        document, _ = await StoredConfiguration(rows=rows).newest()
     finally:
         await connections.close()
     if document is None:
--- a/src/savorystand/node/sidecar.py
+++ b/src/savorystand/node/sidecar.py
@@ -24,7 +24,6 @@
 from savorystand.node.factories import state_factories
 from savorystand.node.sidecar_shutdown import SidecarShutdown
 from savorystand.platform.configuration import StoredConfiguration
-from savorystand.platform.configuration import feed_timeout_ms
 from savorystand.platform.configuration import parse_configuration
 from savorystand.platform.control import ControlEndpoints
 from savorystand.platform.ingress import Ingress
@@ -35,7 +34,6 @@
 from savorystand.reporting.logs import EventLog
 from savorystand.retry.budget import BudgetLimits
 from savorystand.retry.policy import RetryPolicy
-from savorystand.store.connections import OPERATION_TIMEOUT_MS
 from savorystand.store.connections import ServiceConnections
 from savorystand.tables.follower import TablesFollower
 from savorystand.transport.direct import DirectNetwork
@@ -60,6 +58,9 @@
 # The platform's clients keep idle connections for as long as the operators'
 # limits allow; the node must not close one before its client does.
 _KEEP_ALIVE_TIMEOUT_SECONDS = 300
+# A feed request is given up after this time. Others are sent beside it before,
+# so it only bounds how slow a store may be that is still read.
+_FEED_TIMEOUT_MS = 9500
 # Part of the grace period that is left for the end of the process.
 _EXIT_TIME_MS = 200
 
@@ -115,7 +116,7 @@
         connections=ServiceConnections(
             address=cfg.store,
             key='',
-            timeout_ms=feed_timeout_ms(OPERATION_TIMEOUT_MS),
+            timeout_ms=_FEED_TIMEOUT_MS,
         )
     )
     return {
@@ -123,7 +124,8 @@
             kernel=kernel,
             parse=parse_configuration,
             source=None,
-            feed=StoredConfiguration(rows=rows, feed=feed),
+            feed=StoredConfiguration(rows=feed),
+            apply_ms=cfg.apply_ms,
         ),
         'discovery': lambda kernel: NodeDiscovery(
             kernel=kernel,
--- a/src/savorystand/platform/configuration.py
+++ b/src/savorystand/platform/configuration.py
@@ -24,7 +24,6 @@
 _KEY = 'config'
 # The smallest key that follows ``_KEY``.
 _END_KEY = 'config!'
-_FEED_WAIT_MS = 8000
 _HEX_BASE = 16
 # Requests of this kind run at most once per client attempt. Requests of the
 # other kinds, ``safe`` and ``download``, may be repeated.
@@ -44,16 +43,15 @@
 class StoredConfiguration:
     """The configuration in the row store; implements ``ConfigurationFeed``."""
 
-    __slots__ = ('_feed', '_rows')
+    __slots__ = ('_rows',)
 
-    def __init__(self, *, rows: RowClient, feed: RowClient) -> None:
-        """Read with the client ``rows``; wait for changes with ``feed``.
+    def __init__(self, *, rows: RowClient) -> None:
+        """Read with the client ``rows``.
 
-        The connections of ``feed`` need a timeout of at least
-        ``feed_timeout_ms``.
+        The timeout of its connections has to exceed the time for which
+        ``changes`` waits.
         """
         self._rows = rows
-        self._feed = feed
 
     async def newest(self) -> tuple[TablesDocument | None, int]:
         """Return the current configuration and its position in the feed.
@@ -66,8 +64,10 @@
         page = await self._rows.read(_TABLE, start=_KEY, end=_END_KEY)
         return _newest_document(page), page.version
 
-    async def changes(self, position: int) -> tuple[TablesDocument | None, int]:
-        """Wait up to ``_FEED_WAIT_MS`` for a change after ``position``.
+    async def changes(
+        self, position: int, wait_ms: float
+    ) -> tuple[TablesDocument | None, int]:
+        """Wait up to ``wait_ms`` for a change after ``position``.
 
         Return the newest configuration, None if no readable one came, and
         the position from which to continue.
@@ -76,17 +76,12 @@
             HistoryLostError: the store no longer keeps the changes since then.
             StoreError: the store did not respond or refused the request.
         """
-        page = await self._feed.changes(
-            _TABLE, after=position, wait_ms=_FEED_WAIT_MS
+        page = await self._rows.changes(
+            _TABLE, after=position, wait_ms=int(wait_ms)
         )
         return _newest_document(page), max(position, page.version)
 
 
-def feed_timeout_ms(operation_ms: float) -> float:
-    """Return the timeout of a feed request, connection setup included."""
-    return _FEED_WAIT_MS + operation_ms
-
-
 def parse_configuration(document: TablesDocument) -> Tables:
     """Return the tables of a document that ``StoredConfiguration`` returned.
 
--- a/src/savorystand/platform/settings.py
+++ b/src/savorystand/platform/settings.py
@@ -22,8 +22,9 @@
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = 'SAVORYSTAND_NODE_FILE'
 # Bounds that apply where the file sets none; their units in order are
-# milliseconds, seconds, retries per request and retries.
+# milliseconds twice, seconds, retries per request and retries.
 _DEFAULT_BOUNDS = {  # noqa: WPS407
+    'configApplyMs': 2500.0,
     'drainMs': 2500.0,
     'graceS': 6.0,
     'retryBudgetRatio': 0.2,
@@ -48,6 +49,8 @@
     target at ``announcements``. ``store`` is the address of the platform's
     store, ``service`` the name of the service beside which the node runs.
 
+    A change of the configuration has to be in force ``apply_ms`` milliseconds
+    after the store has accepted it.
     A draining target may be given work for ``drain_ms`` milliseconds. A
     process is killed ``grace_ms`` milliseconds after it was told to stop.
     Retries of all nodes together may number ``retry_fraction`` of all requests
@@ -59,6 +62,7 @@
     announcements: Address
     store: Address
     service: str
+    apply_ms: float
     drain_ms: float
     grace_ms: float
     retry_fraction: float
@@ -113,6 +117,7 @@
         announcements=parse_address(listen['admin']),
         store=store,
         service=str(fields['service']),
+        apply_ms=bounds['configApplyMs'],
         drain_ms=bounds['drainMs'],
         grace_ms=bounds['graceS'] * MS_PER_SECOND,
         retry_fraction=bounds['retryBudgetRatio'],
--- a/src/savorystand/reporting/events.py
+++ b/src/savorystand/reporting/events.py
@@ -110,7 +110,7 @@
 ) -> Event:
     """Return the event of a dependency that changed its ``state``.
 
-    ``state`` is 'reached', 'lost' or 'regained'; 'lost' is a warning.
+    ``state`` is 'reached', 'late', 'lost' or 'regained'; 'lost' is a warning.
     """
     return Event(
         name=EventName.DEPENDENCY_CHANGED,
--- a/src/savorystand/tables/feed_reader.py
+++ b/src/savorystand/tables/feed_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -11,6 +12,7 @@
 from savorystand.reporting.logs import EventLog
 from savorystand.store.errors import HistoryLostError
 from savorystand.store.errors import StoreError
+from savorystand.tables.repeated_read import RepeatedRead
 
 if TYPE_CHECKING:
     import random
@@ -19,11 +21,15 @@
     from savorystand.tables.document import TablesDocument
     from savorystand.tables.platform_reader import TablesInstaller
 
+# Fractions of the time in which a change has to be in force everywhere. A lost
+# answer is noticed after the wait and the lateness together, and the rest is for
+# a read on a new connection and its retries.
+_WAIT_FRACTION = 0.4
+_LATE_FRACTION = 0.2
 # The delay after a failed read is random within this range, so that nodes do
-# not all read at once when a store is available again. A new configuration has
-# to be in force within seconds after that.
-_MIN_RETRY_DELAY_MS = 150
-_MAX_RETRY_DELAY_MS = 500
+# not all read at once when a store is available again.
+_MIN_RETRY_FRACTION = 0.06
+_MAX_RETRY_FRACTION = 0.2
 
 
 class ConfigurationFeed(Protocol):
@@ -36,8 +42,10 @@
             StoreError: the store did not respond.
         """
 
-    async def changes(self, position: int) -> tuple[TablesDocument | None, int]:
-        """Wait some seconds at most for a change after ``position``.
+    async def changes(
+        self, position: int, wait_ms: float
+    ) -> tuple[TablesDocument | None, int]:
+        """Wait up to ``wait_ms`` at the store for a change after ``position``.
 
         Return the newest configuration, None without a change, and the next
         position.
@@ -49,10 +57,16 @@
 
 
 class FeedReader:
-    """Reads the configuration once, then follows its changes."""
+    """Reads the configuration once, then follows its changes.
+
+    A request or answer that is lost without a reset must not keep a change
+    from this node, so the store is asked anew before the time to apply one has
+    passed.
+    """
 
     __slots__ = (
         '_answered_ms',
+        '_apply_ms',
         '_clock',
         '_feed',
         '_log',
@@ -68,8 +82,14 @@
         feed: ConfigurationFeed,
         tables: TablesInstaller,
         rng: random.Random,
+        apply_ms: float,
     ) -> None:
-        """Install the configurations from ``feed`` with ``tables``."""
+        """Install the configurations from ``feed`` with ``tables``.
+
+        A change has to be in force ``apply_ms`` milliseconds after the store
+        has accepted it.
+        """
+        self._apply_ms = apply_ms
         self._clock = kernel.find('clock', Clock)
         self._log = kernel.find('log', EventLog)
         self._feed = feed
@@ -90,15 +110,13 @@
             except StoreError as exc:
                 self._record_reachability(reachable=False, detail=str(exc))
                 delay_ms = self._rng.uniform(
-                    _MIN_RETRY_DELAY_MS, _MAX_RETRY_DELAY_MS
+                    self._apply_ms * _MIN_RETRY_FRACTION,
+                    self._apply_ms * _MAX_RETRY_FRACTION,
                 )
                 await self._clock.sleep(delay_ms)
 
     async def _read(self, position: int | None) -> int:
-        if position is None:
-            document, position = await self._feed.newest()
-        else:
-            document, position = await self._feed.changes(position)
+        document, position = await self._answer(position)
         self._record_reachability(reachable=True, detail='')
         self._answered_ms = self._clock.now()
         if document is not None:
@@ -110,11 +128,33 @@
             )
         return position
 
+    async def _answer(
+        self, position: int | None
+    ) -> tuple[TablesDocument | None, int]:
+        late_ms = self._apply_ms * _LATE_FRACTION
+        reading = RepeatedRead[tuple['TablesDocument | None', int]](
+            clock=self._clock, late_ms=late_ms
+        )
+        newest = self._feed.newest
+        if position is None:
+            first, again, first_late_ms = newest, newest, late_ms
+        else:
+            wait_ms = self._apply_ms * _WAIT_FRACTION
+            first = partial(self._feed.changes, position, wait_ms)
+            again = partial(self._feed.changes, position, 0)
+            first_late_ms = wait_ms + late_ms
+        answer = await reading.run(first, again, first_late_ms=first_late_ms)
+        if reading.repeated:
+            self._log_state('late', f'{reading.repeated} further reads')
+        return answer
+
     def _record_reachability(self, *, reachable: bool, detail: str) -> None:
         if reachable == self._reachable:
             return
         self._reachable = reachable
-        state = 'regained' if reachable else 'lost'
+        self._log_state('regained' if reachable else 'lost', detail)
+
+    def _log_state(self, state: str, detail: str) -> None:
         silent_ms = round(self._clock.now() - self._answered_ms)
         self._log.write(
             dependency_changed(
--- a/src/savorystand/tables/follower.py
+++ b/src/savorystand/tables/follower.py
@@ -41,6 +41,8 @@
 
 # A peer that has not sent a part within this time is replaced by another one.
 _PART_TIMEOUT_MS = 500
+# Time within which an accepted change is in force on all nodes.
+_APPLY_MS = 8000
 
 Parser: TypeAlias = Callable[[TablesDocument], Tables]
 
@@ -95,6 +97,7 @@
         source: TablesSource | None,
         snapshot: SnapshotReader | None = None,
         feed: ConfigurationFeed | None = None,
+        apply_ms: float = _APPLY_MS,
         rng: random.Random | None = None,
     ) -> None:
         """Use the services ``tables``, ``membership`` and ``clock``.
@@ -102,7 +105,8 @@
         ``parse`` raises ``ValueError`` for invalid tables. ``snapshot`` reads
         the newest snapshot in the object store; like ``source`` it raises
         ``StoreError``. With a ``feed`` the node follows only that in place of
-        ``source`` and ``snapshot``.
+        ``source`` and ``snapshot``, and asks it often enough for a change to
+        be in force ``apply_ms`` milliseconds after it was accepted.
         """
         self._kernel = kernel
         self._holder = kernel.find('tables', TablesHolder)
@@ -119,7 +123,11 @@
             rng=shared_rng,
         )
         self._feed_reader = feed and FeedReader(
-            kernel=kernel, feed=feed, tables=self, rng=shared_rng
+            kernel=kernel,
+            feed=feed,
+            tables=self,
+            rng=shared_rng,
+            apply_ms=apply_ms,
         )
         self._document: TablesDocument | None = None
         # The last revision that could not be parsed; it is not fetched again.
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -117,6 +117,7 @@
 
     def __init__(self) -> None:
         """Start at 0 ms."""
+        super().__init__()
         self._now: float = 0
 
     def now(self) -> float:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -153,7 +153,7 @@
     """Bytes that are no rows must not end the node; the read is repeated."""
     rows = RowClient(connections=_Connections(body))
     with pytest.raises(StoreUnavailableError):
-        await StoredConfiguration(rows=rows, feed=rows).newest()
+        await StoredConfiguration(rows=rows).newest()
 
 
 @pytest.mark.anyio
@@ -167,7 +167,7 @@
     row = {'table': 'op', 'key': 'config', 'ver': 3, 'value': config}
     body = json.dumps({'rows': [row], 'ver': 3}).encode()
     rows = RowClient(connections=_Connections(body))
-    newest = await StoredConfiguration(rows=rows, feed=rows).newest()
+    newest = await StoredConfiguration(rows=rows).newest()
     assert newest == (None, 3)
 
 
@@ -178,7 +178,7 @@
     address = Address(host='127.0.0.1', port=listener.port)
     connections = ServiceConnections(address=address, key='')
     rows = RowClient(connections=connections)
-    stored = StoredConfiguration(rows=rows, feed=rows)
+    stored = StoredConfiguration(rows=rows)
     async with anyio.create_task_group() as tasks:
         await tasks.start(listener.run)
         assert (await stored.newest())[0] is None
@@ -188,11 +188,11 @@
         assert document is not None
         assert document.revision == 12
         await rows.write([(_CONFIG, b'not a configuration')])
-        unreadable, position = await stored.changes(position)
+        unreadable, position = await stored.changes(position, 0)
         assert unreadable is None
         second = json.dumps(_configuration_fields('0000001f')).encode()
         await rows.write([(_CONFIG, second)])
-        document, _ = await stored.changes(position)
+        document, _ = await stored.changes(position, 0)
         assert document is not None
         assert document.revision == 31
         await connections.send(
@@ -203,5 +203,5 @@
             )
         )
         with pytest.raises(HistoryLostError):
-            await stored.changes(position)
+            await stored.changes(position, 0)
         tasks.cancel_scope.cancel()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -19,7 +19,7 @@
 portRange = [7620, 7635]
 appAddr = "10.0.0.1:80"
 service = "refill"
-bounds = ["drainMs=2000"]
+bounds = ["drainMs=2000", "configApplyMs=3000"]
 [listenAddrs]
 outbound = "10.0.0.1:81"
 ready = "10.0.0.1:82"
@@ -33,7 +33,8 @@
     """The template of the tests below is valid."""
     path = tmp_path / 'node.toml'
     path.write_text(_SETTINGS)
-    assert load_platform_settings(path).drain_ms == 2000
+    cfg = load_platform_settings(path)
+    assert (cfg.drain_ms, cfg.apply_ms) == (2000, 3000)
 
 
 @pytest.mark.parametrize(
@@ -42,8 +43,9 @@
         ('portRange = [7620, 7635]', 'portRange = [inf, 1]'),
         ('portRange = [7620, 7635]', 'portRange = []'),
         ('portRange = [7620, 7635]', 'portRange = "7620"'),
-        ('bounds = ["drainMs=2000"]', 'bounds = ["drainMs=x"]'),
-        ('bounds = ["drainMs=2000"]', 'bounds = 7'),
+        ('"drainMs=2000"', '"drainMs=x"'),
+        ('"configApplyMs=3000"', '"configApplyMs=x"'),
+        ('bounds = ["drainMs=2000", "configApplyMs=3000"]', 'bounds = 7'),
         ('appAddr = "10.0.0.1:80"', ''),
         ('appAddr = "10.0.0.1:80"', 'appAddr = 7'),
         ('[platform]', '[platform'),
--- a/tests/platform/test_worker_notices.py
+++ b/tests/platform/test_worker_notices.py
@@ -137,6 +137,7 @@
         announcements=local,
         store=local,
         service='refill',
+        apply_ms=2500,
         drain_ms=_DRAIN_MS,
         grace_ms=6000,
         retry_fraction=0.2,
--- a/tests/tables/test_feed_reader.py
+++ b/tests/tables/test_feed_reader.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 import random
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
+import anyio
 import pytest
 
+from savorystand.clock import ManualClock
 from savorystand.kernel.kernel import Kernel
 from savorystand.reporting.logs import EventLog
 from savorystand.reporting.logs import EventName
@@ -21,9 +24,13 @@
 from tests.fakes.store import AutoAdvanceClock
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from savorystand.reporting.logs import Event
 
 pytestmark = pytest.mark.anyio
+_APPLY_MS = 2500
+_STEP_MS = 25
 
 
 class _EndOfScriptError(Exception):
@@ -41,7 +48,9 @@
         """Return the next response of the script."""
         return self._next_response(None)
 
-    async def changes(self, position: int) -> tuple[TablesDocument | None, int]:
+    async def changes(
+        self, position: int, wait_ms: float
+    ) -> tuple[TablesDocument | None, int]:
         """Return the next response of the script."""
         return self._next_response(position)
 
@@ -86,9 +95,14 @@
     kernel.register('clock', clock)
     kernel.register('log', log)
     reader = FeedReader(
-        kernel=kernel, feed=feed, tables=tables, rng=random.Random(1)
+        kernel=kernel,
+        feed=feed,
+        tables=tables,
+        rng=random.Random(1),
+        apply_ms=_APPLY_MS,
     )
-    with pytest.raises(_EndOfScriptError):
+    # Reads run in a task group, which wraps the error.
+    with pytest.RaisesGroup(_EndOfScriptError):
         await reader.run()
     return tables.installed, log.states, clock.now()
 
@@ -112,3 +126,98 @@
     assert feed.positions == [None, 7, None, 12]
     assert installed == [7, 12]
     assert not states
+
+
+class _LosingFeed:
+    """Feed whose connections go silent: lost requests are never answered."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.answer_ms: float = 0
+        self.clock = ManualClock()
+        self._lost = 0
+        self._losses = 0
+
+    def silence(self, lost: int) -> None:
+        """Lose the requests in progress and the ``lost`` following ones."""
+        self._losses += 1
+        self._lost = lost
+
+    async def newest(self) -> tuple[TablesDocument | None, int]:
+        """Return the configuration, unless the request is lost."""
+        return await self.changes(0, 0)
+
+    async def changes(
+        self, position: int, wait_ms: float
+    ) -> tuple[TablesDocument | None, int]:
+        """Return a newer configuration, or none at the end of the wait."""
+        losses = self._losses
+        if self._lost:
+            self._lost -= 1
+            await anyio.sleep_forever()
+        end_ms = self.clock.now() + wait_ms
+        while self.revision == position and self.clock.now() < end_ms:
+            await self.clock.sleep(_STEP_MS)
+        await self.clock.sleep(self.answer_ms)
+        if losses != self._losses:
+            await anyio.sleep_forever()
+        document = TablesDocument(
+            revision=self.revision, change_id='', routes='', pools=''
+        )
+        return document, self.revision
+
+    async def advance(self, ms: float) -> None:
+        """Advance the clock in steps, and let the tasks run at each."""
+        for _ in range(int(ms / _STEP_MS)):
+            self.clock.advance(_STEP_MS)
+            await anyio.wait_all_tasks_blocked()
+
+
+@asynccontextmanager
+async def _follow(feed: _LosingFeed) -> AsyncIterator[_Tables]:
+    tables = _Tables()
+    kernel = Kernel()
+    kernel.register('clock', feed.clock)
+    kernel.register('log', _Log())
+    reader = FeedReader(
+        kernel=kernel,
+        feed=feed,
+        tables=tables,
+        rng=random.Random(1),
+        apply_ms=_APPLY_MS,
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(reader.run)
+        await anyio.wait_all_tasks_blocked()
+        yield tables
+        tasks.cancel_scope.cancel()
+
+
+# Guards against a change that is missed for as long as a lost feed request may
+# wait.
+@pytest.mark.parametrize('lost', [0, 1, 2])
+async def test_change_is_in_force_in_time_although_the_feed_is_silent(
+    lost: int,
+) -> None:
+    """Nothing reports the loss: the connections only stay silent."""
+    feed = _LosingFeed()
+    async with _follow(feed) as tables:
+        for revision in range(2, 12):
+            # Changes meet the feed at different moments of its wait.
+            await feed.advance(5000 + revision * 100)
+            feed.silence(lost)
+            feed.revision = revision
+            await feed.advance(_APPLY_MS)
+            assert tables.installed[-1] == revision
+
+
+# Guards against a reader that gives up all answers of a slow store.
+async def test_answers_that_take_seconds_are_used() -> None:
+    """Requests beside a late one must not replace it for ever."""
+    feed = _LosingFeed()
+    async with _follow(feed) as tables:
+        await feed.advance(1000)
+        feed.answer_ms = 6000
+        feed.revision = 2
+        await feed.advance(9000)
+        assert tables.installed[-1] == 2
