Let a newer revision replace older ones in the list of peers

A node remembers 16 peers with a newer revision. While unreachable ones with an older revision fill that list, each costs a timeout of up to 1.5 s, and a peer with the newest one is not recorded. Change: it replaces the peer with the oldest revision. Measured: the new test fails on the code before and passes now; tests/tables, linters and type checker pass.

--- a/src/savorystand/tables/pulling.py
+++ b/src/savorystand/tables/pulling.py
@@ -46,10 +46,17 @@
         return len(self._peer_revisions)
 
     def observe_revision(self, revision: int, peer: PeerAddress) -> bool:
-        """Record a peer's revision; return False if the list is full."""
-        if peer not in self._peer_revisions and len(self) >= _MAX_PEERS:
-            return False
-        self._peer_revisions[peer] = revision
+        """Record a peer's revision.
+
+        Return False if the list is full and no peer in it has an older one.
+        """
+        revisions = self._peer_revisions
+        if peer not in revisions and len(self) >= _MAX_PEERS:
+            oldest = min(revisions, key=revisions.__getitem__)
+            if revisions[oldest] >= revision:
+                return False
+            del revisions[oldest]
+        revisions[peer] = revision
         return True
 
     def forget_older(self, revision: int) -> None:
--- a/tests/tables/test_follower.py
+++ b/tests/tables/test_follower.py
@@ -218,6 +218,22 @@
         run_pull(node, other, peer)
 
 
+# Guards against a change that is not pulled because peers that cannot be reached
+# fill the list with an older one.
+def test_newer_revision_is_pulled_although_the_list_of_peers_is_full() -> None:
+    """Each unreachable peer costs a timeout before the next one is asked."""
+    node = make_follower('node')
+    for number in range(40):
+        node.observe_revision(
+            6, PeerAddress(node_id=f'gone-{number}', host='127.0.0.1', port=1)
+        )
+    peer = PeerAddress(node_id='other', host='127.0.0.1', port=1)
+    node.observe_revision(7, peer)
+    pull = node.begin_pull()
+    assert pull is not None
+    assert pull[0] == peer
+
+
 async def test_failure_domain_has_two_readers() -> None:
     """Only two nodes of a failure domain may read the table service."""
     members = [FakeMembership(str(number)).local for number in range(9)]
