Use a rejected revision once it comes with other texts

A revision that could not be parsed was refused for good, also when the store or a peer has a valid document of it. Change: only the same document is refused again. A document with the revision in force and other texts still changes nothing, and is logged now. Measured: one new test fails on the code before and passes now; the other states the decision, which docs/decisions/tables.md gives. tests/tables, linters and type checker pass.

--- a/src/savorystand/tables/follower.py
+++ b/src/savorystand/tables/follower.py
@@ -85,7 +85,7 @@
         '_part_received',
         '_pull_needed',
         '_puller',
-        '_rejected_revision',
+        '_rejected',
         'reader',
     )
 
@@ -130,8 +130,9 @@
             apply_ms=apply_ms,
         )
         self._document: TablesDocument | None = None
-        # The last revision that could not be parsed; it is not fetched again.
-        self._rejected_revision = 0
+        # The last change that could not be parsed. Its revision is not fetched
+        # from peers again.
+        self._rejected: TablesDocument | None = None
         self._pull_needed = anyio.Event()
         self._part_received = anyio.Event()
         self._next_request: Message | None = None
@@ -144,9 +145,10 @@
 
     def can_install(self, revision: int) -> bool:
         """Return True if a revision is newer and was not rejected."""
-        return (
-            revision > self.revision() and revision != self._rejected_revision
-        )
+        rejected = self._rejected
+        if rejected is not None and revision == rejected.revision:
+            return False
+        return revision > self.revision()
 
     def observe_revision(self, revision: int, peer: PeerAddress) -> None:
         """Record that a peer has a revision and start a pull if it is new."""
@@ -194,13 +196,19 @@
         return self._puller.request(self.revision())
 
     def install(self, document: TablesDocument) -> bool:
-        """Parse and install a document; return False if it is not used."""
-        if not self.can_install(document.revision):
+        """Parse and install a document; return False if it is not used.
+
+        A revision that was rejected is used once it has other texts. One that
+        is in force keeps its texts: nodes that follow different sources would
+        otherwise not agree on it.
+        """
+        if document.revision <= self.revision() or document == self._rejected:
+            self._report_conflict(document)
             return False
         try:
             tables = self._parse(document)
         except ValueError as exc:
-            self._rejected_revision = document.revision
+            self._rejected = document
             self._log().write(tables_rejected(document, str(exc)))
             return False
         if not self._holder.install(tables):
@@ -219,6 +227,14 @@
             tasks.start_soon((self._feed_reader or self.reader).run)
             task_status.started()
 
+    def _report_conflict(self, document: TablesDocument) -> None:
+        current = self._document
+        if current is None or document.revision != current.revision:
+            return
+        if (document.routes, document.pools) != (current.routes, current.pools):
+            problem = 'a revision with other texts is in force'
+            self._log().write(tables_rejected(document, problem))
+
     def _log(self) -> EventLog:
         return self._kernel.find('log', EventLog)
 
--- a/tests/tables/test_follower.py
+++ b/tests/tables/test_follower.py
@@ -24,6 +24,7 @@
 from savorystand.tables.document import TablesDocument
 from savorystand.tables.follower import TablesFollower
 from savorystand.tables.holder import TablesHolder
+from savorystand.tables.pulling import TablesPuller
 from savorystand.tables.tables import Tables
 from savorystand.transport.address import PeerAddress
 from savorystand.wire.codec import encode_frame
@@ -134,6 +135,7 @@
     name: str,
     source: FakeSource | None = None,
     others: Iterable[Member] = (),
+    parse: Callable[[TablesDocument], Tables] = parse,
 ) -> TablesFollower:
     """Return a follower with its own services."""
     membership = FakeMembership(name)
@@ -218,6 +220,37 @@
         run_pull(node, other, peer)
 
 
+# Guards against a valid change that is refused since an earlier document with its
+# revision could not be parsed.
+def test_corrected_document_of_a_rejected_revision_is_installed() -> None:
+    """A bad copy from one source must not hide the good one of another."""
+    rejected = True
+
+    def parse_unless_rejected(document: TablesDocument) -> Tables:
+        if rejected:
+            raise ValueError('rejected')
+        return parse(document)
+
+    node = make_follower('node', parse=parse_unless_rejected)
+    assert not node.install(replace(make_document(7), change_id='bad'))
+    assert not node.install(replace(make_document(7), change_id='bad'))
+    rejected = False
+    assert node.install(make_document(7))
+    assert node.revision() == 7
+
+
+# Guards against nodes that disagree on a revision.
+def test_revision_in_force_keeps_its_texts() -> None:
+    """A document with the same revision and other texts changes nothing."""
+    node = make_follower('node')
+    node.install(make_document(7))
+    assert not node.install(make_document(7, size=3))
+    pull = TablesPuller(rng=random.Random(1)).request(0)
+    response = node.respond(pull)
+    assert response is not None
+    assert response.tables_push.routes == make_document(7).routes
+
+
 # Guards against a change that is not pulled because peers that cannot be reached
 # fill the list with an older one.
 def test_newer_revision_is_pulled_although_the_list_of_peers_is_full() -> None:
