Pause before the next read of a store that keeps no history

A refusal of the feed for lost history is followed by a full read at once, and that by the feed: with a store that discards its history as it comes, each node read without a pause. Change: a node pauses if the feed has not answered since the last full read.

--- a/src/savorystand/tables/feed_reader.py
+++ b/src/savorystand/tables/feed_reader.py
@@ -101,19 +101,30 @@
     async def run(self) -> None:
         """Follow the feed until cancelled; failed reads are retried."""
         position: int | None = None
+        # True if the feed has answered since the last full read.
+        followed = True
         while True:
+            from_feed = position is not None
             try:
                 position = await self._read(position)
+                followed = from_feed
             except HistoryLostError as exc:
                 position = None
                 self._record_reachability(reachable=True, detail=str(exc))
+                if not followed:
+                    # The store keeps no history that could be followed.
+                    await self._pause()
             except StoreError as exc:
                 self._record_reachability(reachable=False, detail=str(exc))
-                delay_ms = self._rng.uniform(
-                    self._apply_ms * _MIN_RETRY_FRACTION,
-                    self._apply_ms * _MAX_RETRY_FRACTION,
-                )
-                await self._clock.sleep(delay_ms)
+                await self._pause()
+
+    async def _pause(self) -> None:
+        await self._clock.sleep(
+            self._rng.uniform(
+                self._apply_ms * _MIN_RETRY_FRACTION,
+                self._apply_ms * _MAX_RETRY_FRACTION,
+            )
+        )
 
     async def _read(self, position: int | None) -> int:
         document, position = await self._answer(position)
