Read and log the generation of the store

Change: responses keep their headers, pages and positions of the feed carry the generation, None if it is missing or no decimal number, and tables-received logs it. The stand-in copies and restores its stores and counts that in the header. Types of the row store moved out of the adapter. No decision depends on the generation yet.

--- a/src/savorystand/lab/platform/application.py
+++ b/src/savorystand/lab/platform/application.py
@@ -19,6 +19,7 @@
 from savorystand.gateway.asgi import json_response
 from savorystand.gateway.asgi import request_body
 from savorystand.gateway.asgi import send_response
+from savorystand.lab.platform.behaviour import COUNTED_ERA
 from savorystand.lab.platform.behaviour import Behaviour
 from savorystand.lab.platform.behaviour import BehaviourError
 from savorystand.lab.platform.behaviour import RateCounter
@@ -40,6 +41,7 @@
 # The users' platform requires no key, so the stand-in also accepts requests
 # without an authorization header.
 _NO_AUTHORIZATION = ''
+_ERA_HEADER = 'store-era'
 _FEED_POLL_INTERVAL_MS = 5
 _OUTAGE_POLL_INTERVAL_MS = 20
 
@@ -96,7 +98,14 @@
         if scope['method'] != 'GET' and self._should_lose_response():
             await self._lose_response(scope, body)
             return
-        await send_response(send, self._serve(scope, body))
+        await send_response(send, self._with_era(self._serve(scope, body)))
+
+    def _with_era(self, response: HttpResponse) -> HttpResponse:
+        era = self._behaviour.era
+        if era == COUNTED_ERA:
+            era = str(self._rows.restores)
+        headers = ((_ERA_HEADER, era),) if era else ()
+        return replace(response, headers=(*response.headers, *headers))
 
     def _control(self, body: bytes) -> HttpResponse:
         try:
@@ -116,6 +125,10 @@
             self._silenced_clients = set(self._clients)
         elif document == {'forget_history': True}:
             self._rows.forget_history()
+        elif document == {'keep_copy': True}:
+            self._rows.keep_copy()
+        elif document == {'restore': True}:
+            self._rows.restore()
         else:
             self._behaviour = self._behaviour.changed(document)
 
@@ -209,9 +222,12 @@
 
     async def _await_change(self, query: dict[str, str]) -> None:
         known_version = int(query['after'])
+        restores = self._rows.restores
         end_ms = self._clock.now() + float(query.get('waitMs', 0))
         while (
-            self._rows.version <= known_version and self._clock.now() < end_ms
+            self._rows.version == known_version
+            and self._rows.restores == restores
+            and self._clock.now() < end_ms
         ):
             await self._clock.sleep(_FEED_POLL_INTERVAL_MS)
 
--- a/src/savorystand/lab/platform/behaviour.py
+++ b/src/savorystand/lab/platform/behaviour.py
@@ -10,6 +10,8 @@
 from typing import final
 
 OUTAGES = ('none', 'error', 'close', 'silent')
+# The era is the number of times that the stores came back from a copy.
+COUNTED_ERA = 'counted'
 
 
 class BehaviourError(Exception):
@@ -29,12 +31,15 @@
     to which the same happens. ``late_ms``: delay in ms after the close at
     which such writes are applied. ``reads_limit`` and ``writes_limit``:
     requests per second above which the stand-in responds with status 429; 0
-    means no limit.
+    means no limit. ``era``: header ``Store-Era`` of all responses, empty for
+    none.
 
-    Two control documents are commands rather than settings:
+    Four control documents are commands rather than settings:
     ``{"silence_open": true}`` leaves requests on the connections seen so far
     without a response, while new connections work;
-    ``{"forget_history": true}`` drops the changes that the feed holds.
+    ``{"forget_history": true}`` drops the changes that the feed holds;
+    ``{"keep_copy": true}`` copies the stores, and ``{"restore": true}`` goes
+    back to the last copy.
     """
 
     latency_ms: float = 0
@@ -45,6 +50,7 @@
     late_ms: float = 0
     reads_limit: int = 0
     writes_limit: int = 0
+    era: str = COUNTED_ERA
 
     def changed(self, document: object) -> Behaviour:
         """Return a copy with the settings of a control document.
@@ -67,6 +73,8 @@
 def _check_setting(name: str, entry: object) -> None:
     if name == 'outage':
         valid = entry in OUTAGES
+    elif name == 'era':
+        valid = isinstance(entry, str)
     elif name in {setting.name for setting in fields(Behaviour)}:
         valid = _is_non_negative_number(entry)
     else:
--- a/src/savorystand/lab/platform/rows.py
+++ b/src/savorystand/lab/platform/rows.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+import copy
 import json
 from collections import deque
 from typing import TYPE_CHECKING
@@ -44,7 +45,15 @@
 class RowTables:
     """Versioned rows with a change feed, and objects, held in memory."""
 
-    __slots__ = ('_history', '_blobs', '_oldest_version', '_rows', 'version')
+    __slots__ = (
+        '_copy',
+        '_history',
+        '_blobs',
+        '_oldest_version',
+        '_rows',
+        'restores',
+        'version',
+    )
 
     def __init__(self) -> None:
         """Create empty stores at version 0."""
@@ -54,6 +63,13 @@
         # The feed holds all changes after this version.
         self._oldest_version = 0
         self.version = 0
+        self._copy: tuple[dict[RowName, Document], dict[str, bytes], int] = (
+            {},
+            {},
+            0,
+        )
+        # Number of times that the stores came back from the copy.
+        self.restores = 0
 
     def transact(self, body: bytes) -> Document:
         """Apply a JSON transaction and return the new version.
@@ -103,10 +119,11 @@
         """Return the changes of a table after a version.
 
         Raises:
-            RefusedError: the history no longer holds all of them.
+            RefusedError: the history no longer holds all of them, or the store
+                does not have that version.
         """
         after = int(query['after'])
-        if after < self._oldest_version:
+        if not self._oldest_version <= after <= self.version:
             raise RefusedError(_GONE, {})
         rows = [
             row
@@ -120,6 +137,28 @@
         self._history.clear()
         self._oldest_version = self.version
 
+    def keep_copy(self) -> None:
+        """Keep a copy of the stores for ``restore``."""
+        self._copy = (
+            copy.deepcopy(self._rows),
+            dict(self._blobs),
+            self.version,
+        )
+
+    def restore(self) -> None:
+        """Go back to the copy: rows, objects, versions and history."""
+        rows, blobs, version = self._copy
+        self.version = version
+        self._rows = copy.deepcopy(rows)
+        self._blobs = dict(blobs)
+        self._history = deque(
+            change
+            for change in self._history
+            if change[_VERSION] <= self.version
+        )
+        self._oldest_version = min(self._oldest_version, self.version)
+        self.restores += 1
+
     def put_object(self, name: str, body: bytes, *, absent: bool) -> None:
         """Store an object; with ``absent``, only if there is none yet.
 
--- a/src/savorystand/lab/soak/store.py
+++ b/src/savorystand/lab/soak/store.py
@@ -14,9 +14,9 @@
 from savorystand.lab.soak.link import Link
 from savorystand.lab.soak.rules import DEADLINE_MS
 from savorystand.platform.row_client import RowClient
-from savorystand.platform.row_client import RowKey
 from savorystand.settings.node import Address
 from savorystand.store.connections import ServiceConnections
+from savorystand.store.rows import RowKey
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/savorystand/platform/configuration.py
+++ b/src/savorystand/platform/configuration.py
@@ -10,6 +10,7 @@
 from savorystand.call import Importance
 from savorystand.membership.conversion import MAX_NUMBER
 from savorystand.tables.document import TablesDocument
+from savorystand.tables.feed_reader import FeedPosition
 from savorystand.tables.pool import Pool
 from savorystand.tables.route import PoolShare
 from savorystand.tables.route import Route
@@ -17,8 +18,9 @@
 
 if TYPE_CHECKING:
     from savorystand.platform.row_client import RowClient
-    from savorystand.platform.row_client import RowPage
-    from savorystand.platform.row_client import StoredRow
+    from savorystand.store.rows import RowPage
+    from savorystand.store.rows import StoredRow
+    from savorystand.tables.feed_reader import FeedAnswer
 
 _TABLE = 'op'
 _KEY = 'config'
@@ -53,7 +55,7 @@
         """
         self._rows = rows
 
-    async def newest(self) -> tuple[TablesDocument | None, int]:
+    async def newest(self) -> FeedAnswer:
         """Return the current configuration and its position in the feed.
 
         The configuration is None if the store has no readable one.
@@ -62,11 +64,11 @@
             StoreError: the store did not respond or refused the request.
         """
         page = await self._rows.read(_TABLE, start=_KEY, end=_END_KEY)
-        return _newest_document(page), page.version
+        return _newest_document(page), _position(page)
 
     async def changes(
-        self, position: int, wait_ms: float
-    ) -> tuple[TablesDocument | None, int]:
+        self, position: FeedPosition, wait_ms: float
+    ) -> FeedAnswer:
         """Wait up to ``wait_ms`` for a change after ``position``.
 
         Return the newest configuration, None if no readable one came, and
@@ -77,9 +79,16 @@
             StoreError: the store did not respond or refused the request.
         """
         page = await self._rows.changes(
-            _TABLE, after=position, wait_ms=int(wait_ms)
+            _TABLE, after=position.version, wait_ms=int(wait_ms)
         )
-        return _newest_document(page), max(position, page.version)
+        reached = _position(page)
+        if reached.version < position.version:
+            return _newest_document(page), position
+        return _newest_document(page), reached
+
+
+def _position(page: RowPage) -> FeedPosition:
+    return FeedPosition(version=page.version, generation=page.generation)
 
 
 def parse_configuration(document: TablesDocument) -> Tables:
--- a/src/savorystand/platform/headers.py
+++ b/src/savorystand/platform/headers.py
@@ -19,4 +19,6 @@
 RATE_LIMIT = 'server-limit'
 # Set to 1 in all responses of a worker that leaves.
 LEAVING = 'server-leaving'
+# Set in all responses of the store: how often it has come back from a copy.
+STORE_GENERATION = 'store-era'
 RETRY_AFTER = 'retry-after'
--- a/src/savorystand/platform/node_registry.py
+++ b/src/savorystand/platform/node_registry.py
@@ -5,16 +5,16 @@
 import contextlib
 from typing import TYPE_CHECKING
 
-from savorystand.platform.row_client import RowClient
-from savorystand.platform.row_client import RowKey
 from savorystand.settings.addresses import AddressError
 from savorystand.settings.addresses import parse_address
+from savorystand.store.rows import RowKey
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from savorystand.platform.row_client import RowPage
+    from savorystand.platform.row_client import RowClient
     from savorystand.settings.node import Address
+    from savorystand.store.rows import RowPage
 
 _TABLE = 'nodes'
 
--- a/src/savorystand/platform/row_client.py
+++ b/src/savorystand/platform/row_client.py
@@ -4,18 +4,21 @@
 
 import base64
 import json
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import final
 from urllib.parse import urlencode
 
+from savorystand.platform import headers as header_names
 from savorystand.store.connections import ServiceConnections
 from savorystand.store.connections import ServiceRequest
 from savorystand.store.errors import HistoryLostError
 from savorystand.store.errors import StoreError
 from savorystand.store.errors import StoreUnavailableError
 from savorystand.store.errors import StoreUnknownError
+from savorystand.store.rows import RowKey
+from savorystand.store.rows import RowPage
+from savorystand.store.rows import RowsChangedError
+from savorystand.store.rows import StoredRow
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -27,6 +30,7 @@
 _CONDITION_FAILED = 412
 _THROTTLED = 429
 _UNAVAILABLE = 503
+_MAX_GENERATION_DIGITS = 18
 _MIN_CLIENT_ERROR = 400
 _MIN_SERVER_ERROR = 500
 _DECODE_ERRORS = (
@@ -39,54 +43,6 @@
 )
 
 
-@final
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RowKey:
-    """Identifies a row; ``part`` is its partition, which may be empty."""
-
-    table: str
-    key: str
-    part: str = ''
-
-
-@final
-@dataclass(slots=True, kw_only=True, frozen=True)
-class StoredRow:
-    """A row as read from the store.
-
-    ``version`` is the value of a counter that increases with each transaction
-    of the whole store. ``payload`` is None if the feed reports a deletion.
-    """
-
-    row_key: RowKey
-    version: int
-    payload: bytes | None
-
-
-@final
-@dataclass(slots=True, kw_only=True, frozen=True)
-class RowPage:
-    """Rows of one snapshot; ``version`` is the newest version of the store."""
-
-    rows: tuple[StoredRow, ...]
-    version: int
-    has_more: bool
-
-
-class RowsChangedError(StoreError):
-    """Rows had other versions than expected; nothing was written.
-
-    ``current`` maps the keys of the expected rows that exist to those rows.
-    """
-
-    def __init__(self, *, current: tuple[StoredRow, ...]) -> None:
-        """Create the error for the rows that the store reports."""
-        super().__init__(
-            f'unexpected row versions; {len(current)} of the rows exist'
-        )
-        self.current = {row.row_key: row for row in current}
-
-
 class RowClient:
     """Reads rows, writes them in transactions and waits for changes."""
 
@@ -226,6 +182,7 @@
             rows=tuple(_decode_row(fields) for fields in document['rows']),
             version=int(document.get('ver') or 0),
             has_more=bool(document.get('hasMore')),
+            generation=_decode_generation(response),
         )
     except _DECODE_ERRORS as exc:
         raise StoreUnavailableError(
@@ -233,6 +190,15 @@
         ) from exc
 
 
+def _decode_generation(response: ServiceResponse) -> int | None:
+    # A store without the header, or with another one than the protocol has,
+    # gives no generation.
+    text = dict(response.headers).get(header_names.STORE_GENERATION, '')
+    if not text.isascii() or not text.isdecimal():
+        return None
+    return int(text) if len(text) <= _MAX_GENERATION_DIGITS else None
+
+
 def check_status(response: ServiceResponse) -> None:
     """Raise the error that a response status other than 200 stands for.
 
--- a/src/savorystand/platform/table_store.py
+++ b/src/savorystand/platform/table_store.py
@@ -8,14 +8,14 @@
 import anyio
 
 from savorystand.platform.row_client import RowClient
-from savorystand.platform.row_client import RowKey
-from savorystand.platform.row_client import RowsChangedError
-from savorystand.platform.row_client import StoredRow
 from savorystand.store.errors import ConditionFailedError
 from savorystand.store.errors import StoreError
 from savorystand.store.errors import StoreUnavailableError
 from savorystand.store.items import Absent
 from savorystand.store.items import Unchanged
+from savorystand.store.rows import RowKey
+from savorystand.store.rows import RowsChangedError
+from savorystand.store.rows import StoredRow
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/savorystand/reporting/events.py
+++ b/src/savorystand/reporting/events.py
@@ -12,6 +12,7 @@
     from savorystand.admission.rate_limit import RateUsage
     from savorystand.membership.member import Member
     from savorystand.tables.document import TablesDocument
+    from savorystand.tables.feed_reader import FeedPosition
     from savorystand.tables.tables import Tables
     from savorystand.target_notice import Incarnation
     from savorystand.transport.address import PeerAddress
@@ -63,7 +64,7 @@
     *,
     used: bool,
     source: str,
-    position: int | None = None,
+    position: FeedPosition | None = None,
 ) -> Event:
     """Return the event of a document that was read or received.
 
@@ -78,7 +79,11 @@
         ('used', 'yes' if used else 'no'),
     ]
     if position is not None:
-        extra.append(('position', str(position)))
+        generation = position.generation
+        extra.append(('position', str(position.version)))
+        extra.append(
+            ('generation', 'none' if generation is None else str(generation))
+        )
     return Event(name=EventName.TABLES_RECEIVED, extra=tuple(extra))
 
 
--- a/src/savorystand/store/connections.py
+++ b/src/savorystand/store/connections.py
@@ -51,10 +51,14 @@
 @final
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ServiceResponse:
-    """A complete HTTP response of a storage service."""
+    """A complete HTTP response of a storage service.
+
+    The names of ``headers`` are in lower case.
+    """
 
     status: int
     body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class _SendProgress:
@@ -164,7 +168,14 @@
                     f'response body exceeds {_MAX_BODY_BYTES} bytes'
                 )
         await response.aclose()
-        return ServiceResponse(status=response.status, body=b''.join(chunks))
+        return ServiceResponse(
+            status=response.status,
+            body=b''.join(chunks),
+            headers=tuple(
+                (name.decode('latin-1').lower(), text.decode('latin-1'))
+                for name, text in response.headers
+            ),
+        )
 
     async def _acquire(self) -> httpcore.AsyncHTTP11Connection:
         while self._idle:
--- a/src/savorystand/tables/feed_reader.py
+++ b/src/savorystand/tables/feed_reader.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 from typing import Protocol
+from typing import TypeAlias
+from typing import final
 
 from savorystand.clock import Clock
 from savorystand.reporting.events import dependency_changed
@@ -32,10 +35,26 @@
 _MAX_RETRY_FRACTION = 0.2
 
 
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class FeedPosition:
+    """A place in the changes of a store.
+
+    ``version`` counts the changes of one ``generation``, which ends when the
+    store comes back from a copy; None if the store names no generation.
+    """
+
+    version: int
+    generation: int | None = None
+
+
+FeedAnswer: TypeAlias = 'tuple[TablesDocument | None, FeedPosition]'
+
+
 class ConfigurationFeed(Protocol):
     """A store that announces changes of the configuration."""
 
-    async def newest(self) -> tuple[TablesDocument | None, int]:
+    async def newest(self) -> FeedAnswer:
         """Return the configuration, None if none, and its feed position.
 
         Raises:
@@ -43,8 +62,8 @@
         """
 
     async def changes(
-        self, position: int, wait_ms: float
-    ) -> tuple[TablesDocument | None, int]:
+        self, position: FeedPosition, wait_ms: float
+    ) -> FeedAnswer:
         """Wait up to ``wait_ms`` at the store for a change after ``position``.
 
         Return the newest configuration, None without a change, and the next
@@ -100,7 +119,7 @@
 
     async def run(self) -> None:
         """Follow the feed until cancelled; failed reads are retried."""
-        position: int | None = None
+        position: FeedPosition | None = None
         # True if the feed has answered since the last full read.
         followed = True
         while True:
@@ -126,7 +145,7 @@
             )
         )
 
-    async def _read(self, position: int | None) -> int:
+    async def _read(self, position: FeedPosition | None) -> FeedPosition:
         document, position = await self._answer(position)
         self._record_reachability(reachable=True, detail='')
         self._answered_ms = self._clock.now()
@@ -139,13 +158,9 @@
             )
         return position
 
-    async def _answer(
-        self, position: int | None
-    ) -> tuple[TablesDocument | None, int]:
+    async def _answer(self, position: FeedPosition | None) -> FeedAnswer:
         late_ms = self._apply_ms * _LATE_FRACTION
-        reading = RepeatedRead[tuple['TablesDocument | None', int]](
-            clock=self._clock, late_ms=late_ms
-        )
+        reading = RepeatedRead[FeedAnswer](clock=self._clock, late_ms=late_ms)
         newest = self._feed.newest
         if position is None:
             first, again, first_late_ms = newest, newest, late_ms
--- a/tests/console/commands/test_tables_show.py
+++ b/tests/console/commands/test_tables_show.py
@@ -17,9 +17,9 @@
 from savorystand.lab.platform.application import platform_app
 from savorystand.lab.platform.listener import PlatformListener
 from savorystand.platform.row_client import RowClient
-from savorystand.platform.row_client import RowKey
 from savorystand.settings.node import Address
 from savorystand.store.connections import ServiceConnections
+from savorystand.store.rows import RowKey
 
 _CONFIGURATION = {  # noqa: WPS407
     'version': '0000000c',
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -19,14 +19,15 @@
 from savorystand.platform.configuration import StoredConfiguration
 from savorystand.platform.configuration import parse_configuration
 from savorystand.platform.row_client import RowClient
-from savorystand.platform.row_client import RowKey
 from savorystand.settings.node import Address
 from savorystand.store.connections import ServiceConnections
 from savorystand.store.connections import ServiceRequest
 from savorystand.store.connections import ServiceResponse
 from savorystand.store.errors import HistoryLostError
 from savorystand.store.errors import StoreUnavailableError
+from savorystand.store.rows import RowKey
 from savorystand.tables.document import TablesDocument
+from savorystand.tables.feed_reader import FeedPosition
 
 _CONFIG = RowKey(table='op', key='config')
 
@@ -168,7 +169,7 @@
     body = json.dumps({'rows': [row], 'ver': 3}).encode()
     rows = RowClient(connections=_Connections(body))
     newest = await StoredConfiguration(rows=rows).newest()
-    assert newest == (None, 3)
+    assert newest == (None, FeedPosition(version=3))
 
 
 @pytest.mark.anyio
--- a/tests/tables/test_feed_reader.py
+++ b/tests/tables/test_feed_reader.py
@@ -20,6 +20,7 @@
 from savorystand.store.errors import HistoryLostError
 from savorystand.store.errors import StoreUnavailableError
 from savorystand.tables.document import TablesDocument
+from savorystand.tables.feed_reader import FeedPosition
 from savorystand.tables.feed_reader import FeedReader
 from tests.fakes.store import AutoAdvanceClock
 
@@ -27,6 +28,7 @@
     from collections.abc import AsyncIterator
 
     from savorystand.reporting.logs import Event
+    from savorystand.tables.feed_reader import FeedAnswer
 
 pytestmark = pytest.mark.anyio
 _APPLY_MS = 2500
@@ -44,19 +46,17 @@
         self._script = list(script)
         self.positions: list[int | None] = []
 
-    async def newest(self) -> tuple[TablesDocument | None, int]:
+    async def newest(self) -> FeedAnswer:
         """Return the next response of the script."""
         return self._next_response(None)
 
     async def changes(
-        self, position: int, wait_ms: float
-    ) -> tuple[TablesDocument | None, int]:
+        self, position: FeedPosition, wait_ms: float
+    ) -> FeedAnswer:
         """Return the next response of the script."""
-        return self._next_response(position)
+        return self._next_response(position.version)
 
-    def _next_response(
-        self, position: int | None
-    ) -> tuple[TablesDocument, int]:
+    def _next_response(self, position: int | None) -> FeedAnswer:
         self.positions.append(position)
         if not self._script:
             raise _EndOfScriptError
@@ -66,7 +66,7 @@
         document = TablesDocument(
             revision=response, change_id='', routes='', pools=''
         )
-        return document, response
+        return document, FeedPosition(version=response)
 
 
 class _Tables:
@@ -155,20 +155,20 @@
         self._losses += 1
         self._lost = lost
 
-    async def newest(self) -> tuple[TablesDocument | None, int]:
+    async def newest(self) -> FeedAnswer:
         """Return the configuration, unless the request is lost."""
-        return await self.changes(0, 0)
+        return await self.changes(FeedPosition(version=0), 0)
 
     async def changes(
-        self, position: int, wait_ms: float
-    ) -> tuple[TablesDocument | None, int]:
+        self, position: FeedPosition, wait_ms: float
+    ) -> FeedAnswer:
         """Return a newer configuration, or none at the end of the wait."""
         losses = self._losses
         if self._lost:
             self._lost -= 1
             await anyio.sleep_forever()
         end_ms = self.clock.now() + wait_ms
-        while self.revision == position and self.clock.now() < end_ms:
+        while self.revision == position.version and self.clock.now() < end_ms:
             await self.clock.sleep(_STEP_MS)
         await self.clock.sleep(self.answer_ms)
         if losses != self._losses:
@@ -176,7 +176,7 @@
         document = TablesDocument(
             revision=self.revision, change_id='', routes='', pools=''
         )
-        return document, self.revision
+        return document, FeedPosition(version=self.revision)
 
     async def advance(self, ms: float) -> None:
         """Advance the clock in steps, and let the tasks run at each."""
