Give up the position of the feed when the store comes back from a copy

What callers would see: requests handled by an older configuration than the one that was acknowledged, until the next change. Cause: a position was a row version alone. A restored store gives versions out again, so that a reader whose position has been passed waits behind changes that it never read, and the larger of two versions was kept. Change: a position counts within one generation of the store. Another generation, also a missing or unreadable one, or a version behind the position ends in a full read, after the random pause of failed reads, so that nodes do not all read at once. That pause replaces the one for stores without history; nothing decides which generation is newer.

--- a/src/savorystand/platform/configuration.py
+++ b/src/savorystand/platform/configuration.py
@@ -9,6 +9,7 @@
 
 from savorystand.call import Importance
 from savorystand.membership.conversion import MAX_NUMBER
+from savorystand.store.errors import HistoryLostError
 from savorystand.tables.document import TablesDocument
 from savorystand.tables.feed_reader import FeedPosition
 from savorystand.tables.pool import Pool
@@ -75,15 +76,23 @@
         the position from which to continue.
 
         Raises:
-            HistoryLostError: the store no longer keeps the changes since then.
+            HistoryLostError: the store no longer keeps the changes since then,
+                or has come back from a copy.
             StoreError: the store did not respond or refused the request.
         """
         page = await self._rows.changes(
             _TABLE, after=position.version, wait_ms=int(wait_ms)
         )
         reached = _position(page)
+        if reached.generation != position.generation:
+            raise HistoryLostError(
+                f'generation {reached.generation} of the store, the position '
+                f'belongs to {position.generation}'
+            )
         if reached.version < position.version:
-            return _newest_document(page), position
+            raise HistoryLostError(
+                f'the store is at {reached.version}, behind {position.version}'
+            )
         return _newest_document(page), reached
 
 
--- a/src/savorystand/reporting/events.py
+++ b/src/savorystand/reporting/events.py
@@ -115,7 +115,8 @@
 ) -> Event:
     """Return the event of a dependency that changed its ``state``.
 
-    ``state`` is 'reached', 'late', 'lost' or 'regained'; 'lost' is a warning.
+    ``state`` is 'reached', 'late', 'lost', 'regained' or 'history lost'; 'lost'
+    is a warning.
     """
     return Event(
         name=EventName.DEPENDENCY_CHANGED,
--- a/src/savorystand/tables/feed_reader.py
+++ b/src/savorystand/tables/feed_reader.py
@@ -30,7 +30,7 @@
 _WAIT_FRACTION = 0.4
 _LATE_FRACTION = 0.2
 # The delay after a failed read is random within this range, so that nodes do
-# not all read at once when a store is available again.
+# not all read at once when a store is available again or has been restored.
 _MIN_RETRY_FRACTION = 0.06
 _MAX_RETRY_FRACTION = 0.2
 
@@ -120,19 +120,14 @@
     async def run(self) -> None:
         """Follow the feed until cancelled; failed reads are retried."""
         position: FeedPosition | None = None
-        # True if the feed has answered since the last full read.
-        followed = True
         while True:
-            from_feed = position is not None
             try:
                 position = await self._read(position)
-                followed = from_feed
             except HistoryLostError as exc:
                 position = None
-                self._record_reachability(reachable=True, detail=str(exc))
-                if not followed:
-                    # The store keeps no history that could be followed.
-                    await self._pause()
+                self._record_reachability(reachable=True, detail='')
+                self._log_state('history lost', str(exc))
+                await self._pause()
             except StoreError as exc:
                 self._record_reachability(reachable=False, detail=str(exc))
                 await self._pause()
