Register a node again after a restore of the store has dropped it

What callers would see: requests to a node that starts after a restore fail or go by older tables, since it finds no other node. Cause: a node wrote its address once, at its start, and a restore drops what was written in the seconds before it. Change: when the generation of the store changes, and each 30 to 60 s for a store without one, a node reads its own row and writes it only if it is missing, then contacts the registered nodes. Checks are spread over a second, or over a span in which all nodes together write 75 times a second, half of what one partition takes: 103 s for 7,700 nodes.

--- a/src/savorystand/node/sidecar.py
+++ b/src/savorystand/node/sidecar.py
@@ -35,6 +35,7 @@
 from savorystand.retry.budget import BudgetLimits
 from savorystand.retry.policy import RetryPolicy
 from savorystand.store.connections import ServiceConnections
+from savorystand.store.generation import StoreGeneration
 from savorystand.tables.follower import TablesFollower
 from savorystand.transport.direct import DirectNetwork
 
@@ -111,13 +112,18 @@
 
 
 def _store_factories(cfg: PlatformSettings) -> dict[str, Factory]:
-    rows = RowClient(connections=ServiceConnections(address=cfg.store, key=''))
+    generation = StoreGeneration()
+    rows = RowClient(
+        connections=ServiceConnections(address=cfg.store, key=''),
+        generation=generation,
+    )
     feed = RowClient(
         connections=ServiceConnections(
             address=cfg.store,
             key='',
             timeout_ms=_FEED_TIMEOUT_MS,
-        )
+        ),
+        generation=generation,
     )
     return {
         'follower': lambda kernel: TablesFollower(
@@ -130,6 +136,7 @@
         'discovery': lambda kernel: NodeDiscovery(
             kernel=kernel,
             registry=StoredNodeRegistry(rows=rows),
+            generation=generation,
             local_address=cfg.node.peers,
             contact=kernel.find('membership', Membership).contact,
             rng=random.Random(),
--- a/src/savorystand/platform/node_registry.py
+++ b/src/savorystand/platform/node_registry.py
@@ -37,6 +37,16 @@
         row = RowKey(table=_TABLE, key=address.text())
         await self._rows.write([(row, b'')])
 
+    async def contains(self, address: Address) -> bool:
+        """Return True if an address has been added.
+
+        Raises:
+            StoreError: the store did not respond or refused the request.
+        """
+        key = address.text()
+        page = await self._rows.read(_TABLE, start=key, limit=1)
+        return any(row.row_key.key == key for row in page.rows)
+
     async def addresses(self) -> list[Address]:
         """Return all addresses, including those of nodes that have stopped.
 
--- a/src/savorystand/platform/row_client.py
+++ b/src/savorystand/platform/row_client.py
@@ -15,6 +15,7 @@
 from savorystand.store.errors import StoreError
 from savorystand.store.errors import StoreUnavailableError
 from savorystand.store.errors import StoreUnknownError
+from savorystand.store.generation import StoreGeneration
 from savorystand.store.rows import RowKey
 from savorystand.store.rows import RowPage
 from savorystand.store.rows import RowsChangedError
@@ -46,11 +47,20 @@
 class RowClient:
     """Reads rows, writes them in transactions and waits for changes."""
 
-    __slots__ = ('_connections',)
+    __slots__ = ('_connections', '_generation')
 
-    def __init__(self, *, connections: ServiceConnections) -> None:
-        """Send requests to the row store over ``connections``."""
+    def __init__(
+        self,
+        *,
+        connections: ServiceConnections,
+        generation: StoreGeneration | None = None,
+    ) -> None:
+        """Send requests to the row store over ``connections``.
+
+        ``generation`` is told the generation of each response.
+        """
         self._connections = connections
+        self._generation = generation or StoreGeneration()
 
     async def read(
         self,
@@ -134,7 +144,7 @@
             headers=(('content-type', 'application/json'),),
             body=json.dumps(document).encode(),
         )
-        response = await self._connections.send(request)
+        response = await self._send(request)
         if response.status == _CONDITION_FAILED:
             raise RowsChangedError(current=_decode_page(response).rows)
         check_status(response)
@@ -148,13 +158,18 @@
             method='GET', path=f'{path}?{urlencode(fields)}'
         )
         try:
-            response = await self._connections.send(request)
+            response = await self._send(request)
             check_status(response)
         except StoreUnknownError as exc:
             # A read has no effect, even if its response was lost.
             raise StoreUnavailableError(str(exc)) from exc
         return response
 
+    async def _send(self, request: ServiceRequest) -> ServiceResponse:
+        response = await self._connections.send(request)
+        self._generation.observe(_decode_generation(response))
+        return response
+
 
 def _encode_key(row: RowKey) -> dict[str, Any]:
     return {'table': row.table, 'part': row.part, 'key': row.key}
