Read the rows beside one that cannot be decoded

What operators of similar systems saw: an odd entry of another writer, and readers of the list that end or stop following it. Cause: a value that is no base64 made the whole page of rows an outage of the store, so that the configuration and the register beside it were not read, and the register ended with an index error on an empty page that announces more. Change: such a value counts as empty, which is no entry of this project. An envelope that the store itself garbles is an outage as before. Evidence: five of the new cases failed before, all pass now; deep nesting, numbers and ports out of range were skipped before as well.

--- a/src/savorystand/platform/node_registry.py
+++ b/src/savorystand/platform/node_registry.py
@@ -58,7 +58,7 @@
         while True:
             page = await self._rows.read(_TABLE, start=start)
             addresses.extend(_decode_addresses(page))
-            if not page.has_more:
+            if not page.has_more or not page.rows:
                 return addresses
             # The smallest key after the last one starts the next page.
             last_key = page.rows[-1].row_key.key
--- a/src/savorystand/platform/row_client.py
+++ b/src/savorystand/platform/row_client.py
@@ -178,7 +178,7 @@
 def _decode_row(fields: dict[str, Any]) -> StoredRow:
     payload = None
     if not fields.get('removed'):
-        payload = base64.b64decode(fields['value'], validate=True)
+        payload = _decode_value(fields['value'])
     return StoredRow(
         row_key=RowKey(
             table=str(fields['table']),
@@ -190,6 +190,15 @@
     )
 
 
+def _decode_value(text: object) -> bytes:
+    # Another writer may store any text. An empty payload is no entry of this
+    # project, and leaves the rows beside it readable.
+    try:
+        return base64.b64decode(text, validate=True)  # type: ignore[arg-type]
+    except (TypeError, ValueError):
+        return b''
+
+
 def _decode_page(response: ServiceResponse) -> RowPage:
     try:
         document = json.loads(response.body)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -18,6 +18,7 @@
 from savorystand.lab.platform.listener import PlatformListener
 from savorystand.platform.configuration import StoredConfiguration
 from savorystand.platform.configuration import parse_configuration
+from savorystand.platform.node_registry import StoredNodeRegistry
 from savorystand.platform.row_client import RowClient
 from savorystand.settings.node import Address
 from savorystand.store.connections import ServiceConnections
@@ -172,6 +173,58 @@
     assert newest == (None, FeedPosition(version=3))
 
 
+def _row(key: str, encoded: object) -> dict[str, object]:
+    return {'table': 'op', 'key': key, 'ver': 3, 'value': encoded}
+
+
+# Guards against rows of other writers that hide the configuration.
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    'odd',
+    [
+        'no base64',
+        '\u00fc',
+        7,
+        None,
+        base64.b64encode(b'[' * 60000).decode(),
+        base64.b64encode(b'\xff').decode(),
+        base64.b64encode(b'{"version": 1e999}').decode(),
+    ],
+)
+async def test_odd_row_leaves_the_others_readable(odd: object) -> None:
+    """A bad row costs only itself, before and after the configuration."""
+    fields = _configuration_fields('0000000c')
+    config = base64.b64encode(json.dumps(fields).encode()).decode()
+    for rows in (
+        [_row('config', odd), _row('config', config)],
+        [_row('config', config), _row('config', odd)],
+        [_row('a', odd), _row('config', config), _row('z', odd)],
+    ):
+        body = json.dumps({'rows': rows, 'ver': 3}).encode()
+        client = RowClient(connections=_Connections(body))
+        document, _ = await StoredConfiguration(rows=client).newest()
+        assert document is not None
+        assert document.revision == 12
+
+
+# Guards against a register that one odd entry makes unreadable.
+@pytest.mark.anyio
+async def test_odd_entries_of_the_register_are_skipped() -> None:
+    """Their keys name no address, or their values cannot be read."""
+    keys = ('', '10.0.0.1:99999', '10.0.0.1:7620', 'x' * 200, '[' * 200)
+    rows = [{**_row(key, '\u00fc'), 'table': 'nodes'} for key in keys]
+    for has_more in (False, True):
+        body = json.dumps({'rows': rows, 'ver': 3}).encode()
+        last = json.dumps({'rows': [], 'ver': 3, 'hasMore': has_more}).encode()
+        client = RowClient(connections=_Connections(body))
+        registry = StoredNodeRegistry(rows=client)
+        assert await registry.addresses() == [
+            Address(host='10.0.0.1', port=7620)
+        ]
+        empty = RowClient(connections=_Connections(last))
+        assert await StoredNodeRegistry(rows=empty).addresses() == []
+
+
 @pytest.mark.anyio
 async def test_feed_returns_changes_and_reports_lost_history() -> None:
     """The feed returns each change, and an error if changes were discarded."""
