--- a/tests/gateway/test_cut_responses.py
+++ b/tests/gateway/test_cut_responses.py
@@ -84,7 +84,7 @@
     whole: bytes, end: Exception | None
 ) -> None:
     """Only its last byte makes a framed response complete."""
-    for size in range(len(whole)):
+    for size, _ in enumerate(whole):
         assert await _body_of(whole[:size], end) is None, size
     assert await _body_of(whole, end) == _BODY
 
