Restore the store in the soak and check its configuration

Change: a drawn action silences the store, restores it from a copy of up to 4 s and writes the configuration again; each version has a route of its own, on which each node is asked twice a second. An answer 404 later than 2.5 s after the acceptance is a violation, unless the node or the store was disturbed within 3 s. Disturbances of the store count for that.

--- a/src/savorystand/lab/soak/actions.py
+++ b/src/savorystand/lab/soak/actions.py
@@ -129,6 +129,14 @@
     """The configuration changes."""
 
 
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Restore:
+    """The store is away and comes back from a copy."""
+
+    down_ms: float
+
+
 @final
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Forge:
@@ -139,7 +147,8 @@
 
 TargetAction: TypeAlias = NameLimit | Leave | Restart | Misbehave
 Signal: TypeAlias = Kill | Stop | Freeze | Reload
-Action: TypeAlias = BreakLink | Configure | Forge | Signal | TargetAction
+StoreAction: TypeAlias = Configure | Restore
+Action: TypeAlias = BreakLink | Forge | Signal | StoreAction | TargetAction
 
 
 def draw_action(rng: random.Random, nodes: int) -> Action:
@@ -175,7 +184,8 @@
         ),
         Configure,
         lambda: Forge(node=node),
+        lambda: Restore(down_ms=rng.uniform(*_DOWN_MS)),
     )
     # Rate limits and departures last long and are drawn more often.
-    weights = (1, 2, 1, 1, 3, 1, 3, 1, 2, 1, 1, 1)
+    weights = (1, 2, 1, 1, 3, 1, 3, 1, 2, 1, 2, 1, 1)
     return rng.choices(draws, weights)[0]()
--- a/src/savorystand/lab/soak/history.py
+++ b/src/savorystand/lab/soak/history.py
@@ -13,6 +13,10 @@
     from savorystand.clock import Clock
 
 
+# Number of the store among the nodes that are disturbed.
+STORE = -1
+
+
 @final
 class Cause(Enum):
     """Why a node, or the target beside it, was disturbed."""
@@ -23,6 +27,8 @@
     FREEZE = 'freeze'
     TARGET = 'target'
     LINK = 'link'
+    # The store, which is no node: the number of the node is STORE.
+    STORE = 'store'
 
     @property
     def is_planned(self) -> bool:
@@ -88,6 +94,15 @@
     per_second: float | None
 
 
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ConfigurationChange:
+    """A version that the store has accepted at a time."""
+
+    version: int
+    at_ms: float
+
+
 @final
 class History:
     """All exchanges, notices and disturbances of a soak."""
@@ -97,10 +112,12 @@
         '_limit_told',
         '_leaving_told',
         'acknowledged',
+        'configurations',
         'disturbances',
         'exchanges',
         'exits',
         'limits',
+        'probed',
         'unsolicited',
     )
 
@@ -114,6 +131,9 @@
         # Instance to the time at which its node acknowledged that it leaves.
         self.acknowledged: dict[str, float] = {}
         self.limits: dict[str, list[LimitChange]] = {}
+        self.configurations: list[ConfigurationChange] = []
+        # Request ids of answered requests on the route of a version.
+        self.probed: dict[str, ConfigurationChange] = {}
         # Nodes that ended without a signal, with their exit codes.
         self.exits: list[tuple[int, int | None]] = []
         # Requests at a target that no caller has sent.
@@ -157,6 +177,12 @@
         exchange.status = status
         exchange.is_genuine = is_genuine
 
+    def answer_probe(
+        self, request_id: str, change: ConfigurationChange
+    ) -> None:
+        """Record an answer to a request on the route of a version."""
+        self.probed[request_id] = change
+
     def tell(
         self, node: int, instance: str, *, limited: bool, leaving: bool
     ) -> None:
--- a/src/savorystand/lab/soak/machine.py
+++ b/src/savorystand/lab/soak/machine.py
@@ -68,6 +68,7 @@
         '_served',
         '_settings',
         'announcements',
+        'callers',
         'link',
         'target',
     )
@@ -103,6 +104,8 @@
         self._killed: Child | None = None
         self._restarting = anyio.Lock()
         self.announcements = self._address(_ANNOUNCEMENT_PORT)
+        # Address at which the node serves its callers.
+        self.callers = self._address(_CALLER_PORT)
         self.target = Target(
             node=number,
             address=self._address(_LINK_PORT),
@@ -118,7 +121,7 @@
             host=host,
             peer_port=PEER_PORT,
             unused_port=_UNUSED_PORT,
-            callers=self._address(_CALLER_PORT).text(),
+            callers=self.callers.text(),
             ready_port=_READY_PORT,
             announcements=self.announcements.text(),
             target=self._address(_LINK_PORT).text(),
@@ -150,7 +153,7 @@
         for number in range(callers):
             caller = Caller(
                 node=self._number,
-                address=self._address(_CALLER_PORT),
+                address=self.callers,
                 may_connect=self.is_ready,
                 history=self._history,
                 clock=self._clock,
--- a/src/savorystand/lab/soak/performer.py
+++ b/src/savorystand/lab/soak/performer.py
@@ -7,6 +7,7 @@
 from savorystand.lab.http_client import REQUEST_ERRORS
 from savorystand.lab.http_client import HttpClient
 from savorystand.lab.soak import actions
+from savorystand.lab.soak.history import STORE
 from savorystand.lab.soak.history import Cause
 from savorystand.lab.soak.link import LinkState
 from savorystand.lab.soak.rules import CONTACT_MS
@@ -61,6 +62,10 @@
         match action:
             case actions.Configure():
                 await self._store.configure()
+            case actions.Restore(down_ms=down_ms):
+                disturbance = self._history.disturb(STORE, Cause.STORE)
+                await self._store.restore(down_ms)
+                self._history.recover(disturbance)
             case actions.BreakLink():
                 await self._break_link(action)
             case actions.Forge(node=node):
@@ -154,7 +159,7 @@
     async def _break_link(self, action: actions.BreakLink) -> None:
         if action.node is None:
             link = self._store.link
-            disturbance = None
+            disturbance = self._history.disturb(STORE, Cause.LINK)
         else:
             link = self._machines[action.node].link
             disturbance = self._history.disturb(action.node, Cause.LINK)
@@ -162,8 +167,7 @@
         await self._clock.sleep(action.duration_ms)
         link.state = LinkState.GOOD
         link.reset()
-        if disturbance is not None:
-            self._history.recover(disturbance)
+        self._history.recover(disturbance)
 
     async def _forge(self, machine: Machine) -> None:
         client = HttpClient(address=machine.announcements)
--- a/src/savorystand/lab/soak/rules.py
+++ b/src/savorystand/lab/soak/rules.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from savorystand.clock import MS_PER_SECOND
+from savorystand.lab.soak.history import STORE
 from savorystand.lab.soak.history import Cause
 
 if TYPE_CHECKING:
@@ -20,6 +21,8 @@
 # Time after a disturbance in which it still excuses a node.
 CONTACT_MS = 3000
 DRAIN_MS = 2500
+APPLY_MS = 2500
+_NOT_FOUND = 404
 DEADLINE_MS = 2000
 _WINDOW_MS = 4000
 _TOLD_MS = 500
@@ -46,6 +49,7 @@
         found.extend(_check_exchange(exchange))
         found.extend(_check_departure(history, exchange))
     found.extend(_check_cuts(history))
+    found.extend(_check_configurations(history))
     for instance, changes in history.limits.items():
         if changes:
             found.extend(_check_limit(history, instance, changes))
@@ -112,6 +116,25 @@
     return bool(causes - {Cause.TARGET})
 
 
+def _check_configurations(history: History) -> Iterator[str]:
+    for request_id, change in history.probed.items():
+        exchange = history.exchanges[request_id]
+        age_ms = round(exchange.sent_ms - change.at_ms)
+        if exchange.status != _NOT_FOUND or age_ms <= APPLY_MS:
+            continue
+        since_ms = exchange.sent_ms - CONTACT_MS
+        causes = {
+            cause
+            for node in (exchange.node, STORE)
+            for cause in history.causes(node, since_ms, exchange.ended_ms)
+        }
+        if not causes - {Cause.TARGET}:
+            yield (
+                f'configuration: {request_id} refused, version '
+                f'{change.version} was accepted {age_ms} ms before'
+            )
+
+
 def _check_cuts(history: History) -> Iterator[str]:
     unexplained: list[str] = []
     for exchange in history.exchanges.values():
--- a/src/savorystand/lab/soak/run.py
+++ b/src/savorystand/lab/soak/run.py
@@ -17,6 +17,7 @@
 from savorystand.lab.soak.history import History
 from savorystand.lab.soak.machine import Machine
 from savorystand.lab.soak.performer import Performer
+from savorystand.lab.soak.probe import Probe
 from savorystand.lab.soak.rules import DEADLINE_MS
 from savorystand.lab.soak.rules import counts
 from savorystand.lab.soak.rules import recovery_violations
@@ -28,6 +29,8 @@
 
     from anyio.abc import TaskGroup
 
+    from savorystand.settings.node import Address
+
 _POOLS = ('lookups', 'orders')
 _DOMAINS = 3
 _CALLERS = 3
@@ -83,7 +86,7 @@
         self._directory = directory
         self._history = History(clock=self._clock)
         self._machines: list[Machine] = []
-        self._store = SoakStore()
+        self._store = SoakStore(history=self._history, clock=self._clock)
         self.report = SoakReport(seed=seed, seconds=seconds, nodes=nodes)
 
     async def run(self) -> None:
@@ -115,31 +118,41 @@
         hosts = [f'127.{number}.0.1' for number in numbers]
         random.shuffle(hosts)
         store = await self._store.run(hosts, tasks, stack)
-        network = store.host.removesuffix('.0.1')
-        seed = self.report.seed
         for number in range(self.report.nodes):
-            host_number = number + 1
-            domain = number % _DOMAINS
-            machine = Machine(
-                number=number,
-                host=f'{network}.1.{host_number}',
-                place={
-                    'pool': _POOLS[number // _DOMAINS % len(_POOLS)],
-                    'domain': f'd{domain}',
-                    'region': f'r{domain}',
-                    'store': store.text(),
-                },
-                directory=self._directory,
+            machine = self._create_machine(number, store)
+            self._machines.append(machine)
+            await machine.run(tasks, stack, callers=self._callers())
+            probe = Probe(
+                node=number,
+                machine=machine,
                 history=self._history,
                 clock=self._clock,
-                seed=f'{seed} {number}',
             )
-            self._machines.append(machine)
-            await machine.run(tasks, stack, callers=self._callers())
+            tasks.start_soon(probe.run)
         with anyio.fail_after(_START_TIMEOUT_MS / MS_PER_SECOND):
             while not all(machine.is_ready() for machine in self._machines):
                 await self._clock.sleep(_POLL_MS)
 
+    def _create_machine(self, number: int, store: Address) -> Machine:
+        network = store.host.removesuffix('.0.1')
+        host_number = number + 1
+        domain = number % _DOMAINS
+        seed = self.report.seed
+        return Machine(
+            number=number,
+            host=f'{network}.1.{host_number}',
+            place={
+                'pool': _POOLS[number // _DOMAINS % len(_POOLS)],
+                'domain': f'd{domain}',
+                'region': f'r{domain}',
+                'store': store.text(),
+            },
+            directory=self._directory,
+            history=self._history,
+            clock=self._clock,
+            seed=f'{seed} {number}',
+        )
+
     def _callers(self) -> int:
         return 1 if self.report.nodes > _FEW_NODES else _CALLERS
 
--- a/tests/lab/soak/test_rules.py
+++ b/tests/lab/soak/test_rules.py
@@ -8,7 +8,9 @@
 import pytest
 
 from savorystand.clock import ManualClock
+from savorystand.lab.soak.history import STORE
 from savorystand.lab.soak.history import Cause
+from savorystand.lab.soak.history import ConfigurationChange
 from savorystand.lab.soak.history import History
 from savorystand.lab.soak.rules import recovery_violations
 from savorystand.lab.soak.rules import violations
@@ -169,3 +171,29 @@
     assert recovery_violations(soak.history, 0, 20_000)
     assert not recovery_violations(soak.history, 0, 10_002)
     assert recovery_violations(soak.history, 50_000, 60_000)
+
+
+@pytest.mark.parametrize(
+    ('age_ms', 'status', 'disturbed', 'expected'),
+    [
+        (2600, 404, None, {'configuration'}),
+        (2400, 404, None, set()),
+        (9000, 200, None, set()),
+        (9000, 404, STORE, set()),
+        (9000, 404, 0, set()),
+        (9000, 404, 1, {'configuration'}),
+    ],
+)
+def test_unknown_route_of_an_accepted_version_is_noticed(
+    age_ms: int, status: int, disturbed: int | None, expected: set[str]
+) -> None:
+    """Only a change within the time to apply, or a disturbance, excuses it."""
+    soak = _Soak()
+    change = ConfigurationChange(version=7, at_ms=soak.clock.now())
+    soak.clock.advance(age_ms)
+    if disturbed is not None:
+        soak.history.disturb(disturbed, Cause.STORE)
+    runs = (True,) if status == 200 else ()
+    soak.exchange(*runs, status=status, idempotent=True)
+    soak.history.answer_probe('r-1', change)
+    assert soak.kinds() == expected
