Take the first generation that a store names for a restore

A store that names no generation before its first restore was taken for one that had not answered yet, so that no node checked its registration. Change: only the generation of the very first response is taken as it is.

--- a/src/savorystand/store/generation.py
+++ b/src/savorystand/store/generation.py
@@ -17,10 +17,11 @@
     alternate.
     """
 
-    __slots__ = ('_current', '_observers')
+    __slots__ = ('_answered', '_current', '_observers')
 
     def __init__(self) -> None:
-        """Start without a generation."""
+        """Start without a response."""
+        self._answered = False
         self._current: int | None = None
         self._observers: list[RestoreObserver] = []
 
@@ -30,11 +31,12 @@
 
     def observe(self, generation: int | None) -> None:
         """Record the generation of a response, None if it names none."""
-        previous = self._current
-        if generation is None or generation == previous:
+        is_first = not self._answered
+        self._answered = True
+        if generation is None or generation == self._current:
             return
         self._current = generation
-        if previous is None:
+        if is_first:
             return
         for observer in self._observers:
             observer()
--- a/tests/membership/test_discovery.py
+++ b/tests/membership/test_discovery.py
@@ -112,6 +112,19 @@
         assert nodes.contacted == [('127.0.0.1', 99)]
 
 
+# Guards against a first restore that is taken for the state at the start.
+async def test_store_that_names_its_first_generation_may_have_lost_rows() -> (
+    None
+):
+    """A store may name no generation before its first restore."""
+    async with _running(members=24, count=1) as nodes:
+        nodes.generation.observe(None)
+        nodes.registry.known = []
+        nodes.generation.observe(1)
+        await nodes.advance(2)
+        assert nodes.registry.added == 2
+
+
 # Guards against writes of nodes whose addresses the restore has kept.
 async def test_registered_node_writes_nothing_after_a_restore() -> None:
     """Only lost addresses are written again."""
