Bound the wait of a feed request

The wait is a share of the time to apply a change; where that is over 23 s it would exceed the timeout of the connection, and each request of an idle feed would end as an outage. Change: it is at most 8 s, as before. Nothing changes where a change has to be in force within 20 s. Measured: the new test fails without the bound and passes with it; linters and type checker pass.

--- a/src/savorystand/tables/feed_reader.py
+++ b/src/savorystand/tables/feed_reader.py
@@ -29,6 +29,9 @@
 # a read on a new connection and its retries.
 _WAIT_FRACTION = 0.4
 _LATE_FRACTION = 0.2
+# Bounds the wait where changes may take long; connections to the store have a
+# timeout, too.
+_MAX_WAIT_MS = 8000
 # The delay after a failed read is random within this range, so that nodes do
 # not all read at once when a store is available again or has been restored.
 _MIN_RETRY_FRACTION = 0.06
@@ -160,7 +163,7 @@
         if position is None:
             first, again, first_late_ms = newest, newest, late_ms
         else:
-            wait_ms = self._apply_ms * _WAIT_FRACTION
+            wait_ms = min(self._apply_ms * _WAIT_FRACTION, _MAX_WAIT_MS)
             first = partial(self._feed.changes, position, wait_ms)
             again = partial(self._feed.changes, position, 0)
             first_late_ms = wait_ms + late_ms
--- a/tests/tables/test_feed_reader.py
+++ b/tests/tables/test_feed_reader.py
@@ -148,6 +148,7 @@
         self.revision = 1
         self.answer_ms: float = 0
         self.clock = ManualClock()
+        self.longest_wait_ms: float = 0
         self._lost = 0
         self._losses = 0
 
@@ -165,6 +166,7 @@
     ) -> FeedAnswer:
         """Return a newer configuration, or none at the end of the wait."""
         losses = self._losses
+        self.longest_wait_ms = max(self.longest_wait_ms, wait_ms)
         if self._lost:
             self._lost -= 1
             await anyio.sleep_forever()
@@ -187,7 +189,9 @@
 
 
 @asynccontextmanager
-async def _follow(feed: _LosingFeed) -> AsyncIterator[_Tables]:
+async def _follow(
+    feed: _LosingFeed, apply_ms: float = _APPLY_MS
+) -> AsyncIterator[_Tables]:
     tables = _Tables()
     kernel = Kernel()
     kernel.register('clock', feed.clock)
@@ -197,7 +201,7 @@
         feed=feed,
         tables=tables,
         rng=random.Random(1),
-        apply_ms=_APPLY_MS,
+        apply_ms=apply_ms,
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(reader.run)
@@ -234,3 +238,12 @@
         feed.revision = 2
         await feed.advance(9000)
         assert tables.installed[-1] == 2
+
+
+# Guards against a wait that outlives the connection to the store.
+async def test_wait_is_bounded_where_changes_may_take_long() -> None:
+    """Each request of an idle feed would end in an error."""
+    feed = _LosingFeed()
+    async with _follow(feed, apply_ms=60000):
+        await feed.advance(1000)
+    assert feed.longest_wait_ms == 8000
