Let a few nodes notice a lost feed and tell the others

One node that notices a lost feed is enough, as gossip names its revision to all. Change: the waits of feed requests are drawn so that six nodes of any number end theirs within the wait of a node on its own, also right after a change has woken all; 8 s at most. A node that learns of a newer revision by gossip, and does not get it within a twenty-fifth of the time to apply it, repeats its read on a new connection at once. Measured: new tests for the hint and the spread of the waits; tests of tables, platform, node and membership, linters and type checker pass.

--- a/src/savorystand/tables/feed_reader.py
+++ b/src/savorystand/tables/feed_reader.py
@@ -10,6 +10,8 @@
 from typing import final
 
 from savorystand.clock import Clock
+from savorystand.membership.directory import MemberDirectory
+from savorystand.membership.member import MemberState
 from savorystand.reporting.events import dependency_changed
 from savorystand.reporting.events import tables_received
 from savorystand.reporting.logs import EventLog
@@ -29,6 +31,12 @@
 # a read on a new connection and its retries.
 _WAIT_FRACTION = 0.4
 _LATE_FRACTION = 0.2
+# A read starts this long after a peer was found to have a newer revision. The
+# answer of the feed usually comes earlier.
+_EXPECTED_FRACTION = 0.04
+# Nodes of which one notices a lost feed tell the others. So many of them end
+# their wait, on average, within the wait of a node on its own.
+_WAITS_ENDED = 6
 # Bounds the wait where changes may take long; connections to the store have a
 # timeout, too.
 _MAX_WAIT_MS = 8000
@@ -82,18 +90,21 @@
     """Reads the configuration once, then follows its changes.
 
     A request or answer that is lost without a reset must not keep a change
-    from this node, so the store is asked anew before the time to apply one has
-    passed.
+    from all nodes, so some of them ask the store anew before the time to apply
+    one has passed. The others learn from them by gossip that they missed it.
     """
 
     __slots__ = (
         '_answered_ms',
         '_apply_ms',
         '_clock',
+        '_expected_revision',
         '_feed',
         '_log',
+        '_members',
         '_rng',
         '_reachable',
+        '_reading',
         '_tables',
     )
 
@@ -112,6 +123,10 @@
         has accepted it.
         """
         self._apply_ms = apply_ms
+        self._members = kernel.find('membership', MemberDirectory)
+        self._expected_revision = 0
+        # The read in progress.
+        self._reading: RepeatedRead[FeedAnswer] | None = None
         self._clock = kernel.find('clock', Clock)
         self._log = kernel.find('log', EventLog)
         self._feed = feed
@@ -135,6 +150,20 @@
                 self._record_reachability(reachable=False, detail=str(exc))
                 await self._pause()
 
+    def expect(self, revision: int) -> None:
+        """Read again if ``revision``, which a peer has, does not arrive soon."""
+        if revision <= self._expected_revision:
+            return
+        self._expected_revision = revision
+        self._clock.call_later(
+            self._apply_ms * _EXPECTED_FRACTION,
+            lambda: self._read_missed(revision),
+        )
+
+    def _read_missed(self, revision: int) -> None:
+        if self._reading is not None and self._tables.revision() < revision:
+            self._reading.repeat()
+
     async def _pause(self) -> None:
         await self._clock.sleep(
             self._rng.uniform(
@@ -163,15 +192,39 @@
         if position is None:
             first, again, first_late_ms = newest, newest, late_ms
         else:
-            wait_ms = min(self._apply_ms * _WAIT_FRACTION, _MAX_WAIT_MS)
+            wait_ms = self._draw_wait_ms()
             first = partial(self._feed.changes, position, wait_ms)
             again = partial(self._feed.changes, position, 0)
             first_late_ms = wait_ms + late_ms
-        answer = await reading.run(first, again, first_late_ms=first_late_ms)
+        self._reading = reading
+        try:
+            answer = await reading.run(
+                first, again, first_late_ms=first_late_ms
+            )
+        finally:
+            self._reading = None
         if reading.repeated:
             self._log_state('late', f'{reading.repeated} further reads')
         return answer
 
+    def _draw_wait_ms(self) -> float:
+        """Return a random wait, so that the waits of nodes end at all times.
+
+        A change ends the waits of all nodes at once. Only an exponential
+        distribution keeps their later ends evenly spread.
+        """
+        single_ms = self._apply_ms * _WAIT_FRACTION
+        live = sum(
+            member.state is not MemberState.DEAD
+            for member in self._members.members()
+        )
+        mean_ms = single_ms * live / _WAITS_ENDED
+        if mean_ms > single_ms:
+            wait_ms = self._rng.expovariate(1 / mean_ms)
+        else:
+            wait_ms = single_ms
+        return min(wait_ms, _MAX_WAIT_MS)
+
     def _record_reachability(self, *, reachable: bool, detail: str) -> None:
         if reachable == self._reachable:
             return
--- a/src/savorystand/tables/follower.py
+++ b/src/savorystand/tables/follower.py
@@ -122,13 +122,15 @@
             snapshot=snapshot,
             rng=shared_rng,
         )
-        self._feed_reader = feed and FeedReader(
-            kernel=kernel,
-            feed=feed,
-            tables=self,
-            rng=shared_rng,
-            apply_ms=apply_ms,
-        )
+        self._feed_reader: FeedReader | None = None
+        if feed is not None:
+            self._feed_reader = FeedReader(
+                kernel=kernel,
+                feed=feed,
+                tables=self,
+                rng=shared_rng,
+                apply_ms=apply_ms,
+            )
         self._document: TablesDocument | None = None
         # The last change that could not be parsed. Its revision is not fetched
         # from peers again.
@@ -152,9 +154,11 @@
 
     def observe_revision(self, revision: int, peer: PeerAddress) -> None:
         """Record that a peer has a revision and start a pull if it is new."""
-        if self.can_install(revision) and self._puller.observe_revision(
-            revision, peer
-        ):
+        if not self.can_install(revision):
+            return
+        if self._feed_reader is not None:
+            self._feed_reader.expect(revision)
+        if self._puller.observe_revision(revision, peer):
             self._pull_needed.set()
 
     def respond(self, frame: Message) -> Message | None:
--- a/src/savorystand/tables/repeated_read.py
+++ b/src/savorystand/tables/repeated_read.py
@@ -82,6 +82,10 @@
             raise outcome.error
         return outcome.ok
 
+    def repeat(self) -> None:
+        """Start a further read now: the one in progress seems to be lost."""
+        self._changed.set()
+
     async def _read(
         self, read: Read[_Answer], scope: anyio.CancelScope
     ) -> None:
--- a/tests/tables/test_feed_reader.py
+++ b/tests/tables/test_feed_reader.py
@@ -23,6 +23,7 @@
 from savorystand.tables.feed_reader import FeedPosition
 from savorystand.tables.feed_reader import FeedReader
 from tests.fakes.store import AutoAdvanceClock
+from tests.tables.test_follower import FakeMembership
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -78,6 +79,10 @@
         self.installed.append(document.revision)
         return True
 
+    def revision(self) -> int:
+        """Return the last revision."""
+        return self.installed[-1] if self.installed else 0
+
 
 class _Log(EventLog):
     def __init__(self) -> None:
@@ -94,6 +99,7 @@
     kernel = Kernel()
     kernel.register('clock', clock)
     kernel.register('log', log)
+    kernel.register('membership', FakeMembership('node'))
     reader = FeedReader(
         kernel=kernel,
         feed=feed,
@@ -149,6 +155,8 @@
         self.answer_ms: float = 0
         self.clock = ManualClock()
         self.longest_wait_ms: float = 0
+        self.reader: FeedReader | None = None
+        self.seed = 1
         self._lost = 0
         self._losses = 0
 
@@ -190,22 +198,26 @@
 
 @asynccontextmanager
 async def _follow(
-    feed: _LosingFeed, apply_ms: float = _APPLY_MS
+    feed: _LosingFeed, apply_ms: float = _APPLY_MS, members: int = 1
 ) -> AsyncIterator[_Tables]:
     tables = _Tables()
     kernel = Kernel()
     kernel.register('clock', feed.clock)
     kernel.register('log', _Log())
+    membership = FakeMembership('node')
+    membership.others = [membership.local_member() for _ in range(members - 1)]
+    kernel.register('membership', membership)
     reader = FeedReader(
         kernel=kernel,
         feed=feed,
         tables=tables,
-        rng=random.Random(1),
+        rng=random.Random(feed.seed),
         apply_ms=apply_ms,
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(reader.run)
         await anyio.wait_all_tasks_blocked()
+        feed.reader = reader
         yield tables
         tasks.cancel_scope.cancel()
 
@@ -247,3 +259,35 @@
     async with _follow(feed, apply_ms=60000):
         await feed.advance(1000)
     assert feed.longest_wait_ms == 8000
+
+
+# Guards against a lost feed that is noticed late on a node among many.
+async def test_newer_revision_of_a_peer_makes_a_silent_feed_read_again() -> (
+    None
+):
+    """Gossip names the revision; peers that hold it may be out of reach."""
+    feed = _LosingFeed()
+    async with _follow(feed, members=1000) as tables:
+        await feed.advance(1000)
+        feed.silence(0)
+        feed.revision = 2
+        assert feed.reader is not None
+        feed.reader.expect(2)
+        feed.reader.expect(2)
+        await feed.advance(200)
+        assert tables.installed[-1] == 2
+
+
+# Guards against calls of the store that grow with the number of nodes times the
+# rate of a node on its own.
+async def test_waits_of_many_nodes_are_long_and_end_at_all_times() -> None:
+    """Of 24 nodes six end their wait in 1 s, also right after a change."""
+    waits = []
+    for _ in range(24):
+        feed = _LosingFeed()
+        feed.seed = len(waits)
+        async with _follow(feed, members=24):
+            await feed.advance(100)
+        waits.append(feed.longest_wait_ms)
+    assert 2 <= sum(wait < 1000 for wait in waits) <= 10
+    assert 2500 <= sum(waits) / len(waits) <= 5000
