Give a new target all of its slots from the start

Cause: a target's node capped its slots at a quarter, a half and three quarters for a second each after every start, also when all targets of the pool were new. After a restart of everything the smallest pool of the call chain served a quarter of what it could; requests that need four of its calls in a row hardly ever got all, and the work above was lost. Change: the cap is gone. Callers already give a new target its share in steps while others can take the calls.

--- a/src/savorystand/admission/limit.py
+++ b/src/savorystand/admission/limit.py
@@ -35,9 +35,6 @@
 # Fraction of the difference to a lower ratio that the accepted ratio falls in
 # each window.
 _ACCEPTED_FALL_FRACTION = 0.3
-# Fraction of the slots in each step after the target has started.
-_START_FRACTIONS = (0.25, 0.5, 0.75)
-_START_STEP_MS = 1000
 
 
 @final
@@ -75,8 +72,6 @@
         '_paused_until_ms',
         '_refusals',
         '_slots',
-        '_start_ms',
-        '_starting',
         '_trial',
         '_window_start_ms',
     )
@@ -86,10 +81,9 @@
         self._clock = clock
         self._slots = 1
         self._exact_limit = float(1)
-        self._start_ms = clock.now()
-        self._starting = True
-        self._window_start_ms = self._start_ms
-        self._ignored_until_ms = self._start_ms
+        now = clock.now()
+        self._window_start_ms = now
+        self._ignored_until_ms = now
         self._elapsed_sum_ms = float(0)
         self._ratios: list[float] = []
         self._refusals = 0
@@ -97,7 +91,7 @@
         self._trial: _Trial | None = None
         self._accepted_ratio = float(1)
         self._pause_ms = float(_PAUSE_MS)
-        self._paused_until_ms = self._start_ms
+        self._paused_until_ms = now
 
     def resize(self, slots: int) -> None:
         """Set the upper bound; if it has changed, reset the limit to it."""
@@ -108,9 +102,12 @@
         self._trial = None
 
     def restart(self) -> None:
-        """Reset the limit; from now on it rises to all slots in steps."""
-        self._start_ms = self._clock.now()
-        self._starting = True
+        """Reset the limit to all slots, for a target that has started anew.
+
+        It does not rise in steps: callers give a new target its share in
+        steps while others can take the calls, and nobody else can take them if
+        all targets are new.
+        """
         self._exact_limit = float(self._slots)
         self._trial = None
         self._accepted_ratio = float(1)
@@ -121,14 +118,7 @@
 
     def current(self) -> int:
         """Return the current limit, from 1 to the number of slots."""
-        limit = self._exact_limit
-        if self._starting:
-            step = int((self._clock.now() - self._start_ms) // _START_STEP_MS)
-            if step < len(_START_FRACTIONS):
-                limit = min(limit, self._slots * _START_FRACTIONS[step])
-            else:
-                self._starting = False
-        return max(1, int(limit))
+        return max(1, int(self._exact_limit))
 
     def record(
         self, ratio: float, *, elapsed_ms: float, in_flight: int
--- a/src/savorystand/admission/queue.py
+++ b/src/savorystand/admission/queue.py
@@ -88,7 +88,7 @@
     def open_to_new_work(self) -> None:
         """Admit new calls after the target has started or returned to service.
 
-        The limit rises in steps, from a fraction of the slots to all of them.
+        What was learned of the limit of an earlier target is forgotten.
         """
         self._drain_deadline.clear()
         self._limit.restart()
--- /dev/null
+++ b/tests/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Simulated estate: real decision classes on a controlled clock."""
