Limit new targets only while established ones can take their calls

Cause: targets of a node's first list counted as established, all later ones as new for four seconds. After a restart of everything a node learns of the targets one after the other, so that the first few got nearly all calls; after a loss of most of a pool the few old targets kept their full share of the calls while the returning ones got a tenth. Change: the ramp-up starts when a node learns of a target, and applies only while at least half of the targets have completed it. The test of the steps warms up for 5 s instead of 0.1 s, as a node that has just started no longer takes all targets for established; its checks are the same.

--- a/src/savorystand/routing/pool_view.py
+++ b/src/savorystand/routing/pool_view.py
@@ -22,6 +22,9 @@
 _PASS_SHARE_INCREASE = 0.05
 _PASS_SHARE_DECREASE_FACTOR = 0.8
 _OTHER_REGION = 2
+# How long the count of established targets is used: a count walks over all
+# targets of the pool.
+_COUNT_LIFETIME_MS = 200
 
 
 @final
@@ -51,7 +54,9 @@
     """Targets by distance, their statistics and the routes' latencies."""
 
     __slots__ = (
+        '_counted_ms',
         '_members',
+        '_mostly_established',
         '_pass_shares',
         '_last_shed_ms',
         '_targets',
@@ -68,6 +73,8 @@
         self.source: list[Member] | None = None
         self._targets: dict[str, Target] = {}
         self._last_shed_ms = -math.inf
+        self._counted_ms = -math.inf
+        self._mostly_established = False
         self._pass_shares: dict[Importance, float] = {}
         # Own failure domain, own region, other regions.
         self.targets_by_distance: tuple[list[Target], ...] = ([], [], [])
@@ -79,13 +86,12 @@
     ) -> None:
         """Replace the targets by ``members``; drop statistics of the others.
 
-        Targets of the first list skip the ramp-up: while all are new, no
-        established target could take the load instead.
+        The ramp-up of a target starts when this node learns of it.
         """
         self.source = members
         if members == self._members:
             return
-        ramp_up_started_ms = now if self._members else -math.inf
+        self._counted_ms = -math.inf
         previous = self._targets
         self._members = list(members)
         self._targets = {}
@@ -93,9 +99,7 @@
         for member in members:
             target = previous.get(member.peer.node_id)
             stats = (
-                target.stats
-                if target
-                else TargetStats(ramp_up_started_ms=ramp_up_started_ms)
+                target.stats if target else TargetStats(ramp_up_started_ms=now)
             )
             group_index = distance(member, local_member)
             updated = Target(
@@ -107,6 +111,21 @@
             groups[group_index].append(updated)
         self.targets_by_distance = groups
 
+    def limits_new_targets(self, now: float) -> bool:
+        """Return True while targets in their ramp-up get a smaller share.
+
+        They get a full one while fewer than half of the targets are
+        established: these could not take the calls of the others.
+        """
+        if now - self._counted_ms >= _COUNT_LIFETIME_MS:
+            self._counted_ms = now
+            established = sum(
+                target.stats.is_established(now)
+                for target in self._targets.values()
+            )
+            self._mostly_established = 2 * established >= len(self._targets)
+        return self._mostly_established
+
     def target(self, peer: PeerAddress) -> Target | None:
         """Return the target of a peer, or None if it is not in the pool."""
         return self._targets.get(peer.node_id)
--- a/src/savorystand/routing/target_selector.py
+++ b/src/savorystand/routing/target_selector.py
@@ -150,6 +150,8 @@
             return False
         if stats.is_established(self._now):
             return True
+        if not self._view.limits_new_targets(self._now):
+            return True
         return not stats.is_skipped(self._now, self._rng.random())
 
     def _is_usable(self, target: Target) -> bool:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -100,7 +100,7 @@
     names = [f't{number}' for number in range(6)]
     normal_ms = dict.fromkeys(names, 10.0)
     caller = _CallingNode([make_member(name) for name in names[:5]])
-    caller.run(100, normal_ms)
+    caller.run(5000, normal_ms)
     caller.directory.listed.append(make_member('t5'))
     shares = [caller.run(1000, normal_ms)['t5'] for _ in range(6)]
     assert shares[0] < 50
@@ -108,6 +108,34 @@
     assert shares[5] > 120
 
 
+# Guards against a few targets that get nearly all calls after a restart of
+# everything, only because this node has learned of them first.
+def test_targets_learned_one_by_one_after_a_start_share_equally() -> None:
+    """All of them are new, and none can take the calls of the others."""
+    names = [f't{number}' for number in range(6)]
+    normal_ms = dict.fromkeys(names, 10.0)
+    caller = _CallingNode([make_member('t0'), make_member('t1')])
+    caller.run(100, normal_ms)
+    for name in names[2:]:
+        caller.directory.listed.append(make_member(name))
+        caller.run(50, normal_ms)
+    assert min(caller.run(1000, normal_ms).values()) > 120
+
+
+# Guards against a minority of old targets that is overloaded while the others
+# return from a loss of half of the machines.
+def test_majority_of_new_targets_gets_full_shares() -> None:
+    """The established ones cannot take the calls of so many."""
+    names = [f't{number}' for number in range(6)]
+    normal_ms = dict.fromkeys(names, 10.0)
+    caller = _CallingNode([make_member(name) for name in names[:2]])
+    caller.run(5000, normal_ms)
+    for name in names[2:]:
+        caller.directory.listed.append(make_member(name))
+        caller.run(10, normal_ms)
+    assert min(caller.run(1000, normal_ms).values()) > 120
+
+
 def test_nearer_targets_come_first_while_they_have_room() -> None:
     """Calls to other regions cost 40 ms and money and must be a last resort."""
     caller = _CallingNode(
