Infer the parents of calls from the second match of a deadline

Cause: a node took the first ten requests on a route for requests of callers, whatever their deadlines. A node that has just started and makes three calls a second needed three seconds; until then its target's calls lost the importance of the request that they serve, and could be refused by the throttle after work had been done for them. Change: two requests that match the deadline of a running execution, and a fifth of all, are enough. A single chance match still decides nothing. Measured: the new test finds the parent at the third request, the code before at none of four; the tests of chance matches pass unchanged.

--- a/src/savorystand/dispatch/parents.py
+++ b/src/savorystand/dispatch/parents.py
@@ -20,7 +20,9 @@
 # About 2 % of the requests of callers match the deadline of a running execution
 # by chance; 40 % or more of the calls by targets match one.
 _MIN_MATCHED_FRACTION = 0.2
-_MIN_REQUESTS = 10
+# One request may match by chance. Waiting for more of them takes seconds on a
+# node that has just started and makes few calls.
+_MIN_MATCHED = 2
 # Number of requests at which the counts of a route are halved, so that they
 # adapt to a changed configuration.
 _MAX_REQUESTS = 400
@@ -103,7 +105,7 @@
         return counts
 
     def _is_called_by_targets(self, counts: _Counts) -> bool:
-        if counts.requests < _MIN_REQUESTS:
+        if counts.matched < _MIN_MATCHED:
             return False
         return counts.matched >= _MIN_MATCHED_FRACTION * counts.requests
 
--- a/tests/dispatch/test_parents.py
+++ b/tests/dispatch/test_parents.py
@@ -51,3 +51,18 @@
     _open_execution(registry, 800)
     ends = [4000 if turn % 20 else 800 for turn in range(200)]
     assert not any(parents.find(_PRICE, end) for end in ends)
+
+
+# Guards against calls that lose the importance of their request for seconds
+# after a start, and are refused although work has been done for them.
+def test_new_node_infers_parents_from_its_second_match() -> None:
+    """After a restart of everything, each node makes few calls a second."""
+    kernel = Kernel()
+    registry = ExecutionRegistry()
+    kernel.register('executions', registry)
+    parents = ParentInference(kernel=kernel)
+    _open_execution(registry, 800)
+    ends = (800, 300, 800, 300)
+    found = [parents.find(_PRICE, end) for end in ends]
+    expected = ParentExecution(route='confirm', importance=Importance.CRITICAL)
+    assert found == [None, None, expected, expected]
