Count bytes between nodes by kind and distance, and store calls by kind

Change: the node that opens a connection counts its frames in both directions, membership counts its datagrams, and the clients of the stores their requests and the bodies of responses. A sidecar logs the totals every five seconds and at its stop; a standalone node sends them as metrics.

--- a/src/savorystand/lab/slopes/processor.py
+++ b/src/savorystand/lab/slopes/processor.py
@@ -24,6 +24,7 @@
 from savorystand.membership.reconciliation import Reconciler
 from savorystand.reporting.counters import Counters
 from savorystand.reporting.statsd import StatsdSender
+from savorystand.reporting.traffic import Traffic
 from savorystand.tables.parser import parse_tables
 from savorystand.tables.readers import is_reader
 
@@ -165,7 +166,10 @@
     for routes in (8, 16, 32, 64):
         counters = Counters(clock=ManualClock())
         sender = StatsdSender(
-            clock=ManualClock(), counters=counters, address=None
+            clock=ManualClock(),
+            counters=counters,
+            traffic=Traffic(),
+            address=None,
         )
         calls = [sample_call(number) for number in range(routes)]
         spent_us = []
--- a/src/savorystand/membership/membership.py
+++ b/src/savorystand/membership/membership.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import TypeAlias
 
@@ -19,6 +20,10 @@
 from savorystand.membership.member_list import MemberList
 from savorystand.membership.swim import RevisionObserver
 from savorystand.membership.swim import Swim
+from savorystand.reporting.traffic import Traffic
+from savorystand.reporting.traffic import TrafficKind
+from savorystand.reporting.traffic import distance_between
+from savorystand.reporting.traffic import find_traffic
 from savorystand.transport.address import PeerAddress
 from savorystand.transport.network import Network
 from savorystand.transport.peers import PeerTransport
@@ -32,6 +37,7 @@
     from anyio.abc import TaskStatus
 
     from savorystand.kernel.kernel import Kernel
+    from savorystand.membership.records import MemberRecords
     from savorystand.settings.node import NodeSettings
 
 _TICK_INTERVAL_MS = 100
@@ -86,7 +92,12 @@
             members=self._members,
             clock=self._clock,
             rng=rng,
-            send=self._port.send,
+            send=partial(
+                _send_counted,
+                self._port,
+                self._members.records,
+                find_traffic(kernel),
+            ),
             on_contact=contacts.add,
         )
         self._swim.seeds = _seeds(cfg)
@@ -214,6 +225,20 @@
         action()
 
 
+def _send_counted(
+    socket: DatagramPort,
+    records: MemberRecords,
+    traffic: Traffic,
+    datagram: bytes,
+    host: str,
+    port: int,
+) -> None:
+    receiver = records.lookup_address(host, port)
+    distance = distance_between(receiver, records.local)
+    traffic.count(TrafficKind.GOSSIP, distance, len(datagram))
+    socket.send(datagram, host, port)
+
+
 def _seeds(cfg: NodeSettings) -> tuple[tuple[str, int], ...]:
     local_address = (cfg.peers.host, cfg.peers.port)
     seeds = ((seed.host, seed.port) for seed in cfg.seeds)
--- a/src/savorystand/node/builder.py
+++ b/src/savorystand/node/builder.py
@@ -29,6 +29,7 @@
 from savorystand.node.shutdown import NodeShutdown
 from savorystand.reporting.endpoints import ReportEndpoints
 from savorystand.reporting.setup import reporting_factories
+from savorystand.reporting.traffic import Traffic
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -69,7 +70,12 @@
 
 
 def _state_factories(cfg: NodeSettings, node_id: str) -> dict[str, Factory]:
-    return {**state_factories(cfg, node_id), **platform_factories(cfg, node_id)}
+    traffic = Traffic()
+    return {
+        'traffic': lambda kernel: traffic,
+        **state_factories(cfg, node_id),
+        **platform_factories(cfg, node_id, traffic),
+    }
 
 
 def _call_factories(cfg: NodeSettings, node_id: str) -> dict[str, Factory]:
--- a/src/savorystand/node/platform.py
+++ b/src/savorystand/node/platform.py
@@ -17,13 +17,21 @@
 
 if TYPE_CHECKING:
     from savorystand.kernel.kernel import Factory
+    from savorystand.reporting.traffic import Traffic
     from savorystand.settings.node import NodeSettings
 
 
-def platform_factories(cfg: NodeSettings, node_id: str) -> dict[str, Factory]:
-    """Return the factories of the claims and of the tables follower."""
-    store = TableStore(connections=_connect_to(cfg, cfg.table_service))
-    bucket = ObjectStore(connections=_connect_to(cfg, cfg.object_store))
+def platform_factories(
+    cfg: NodeSettings, node_id: str, traffic: Traffic
+) -> dict[str, Factory]:
+    """Return the factories of the claims and of the tables follower.
+
+    ``traffic`` counts the requests to both stores.
+    """
+    store = TableStore(connections=_connect_to(cfg, cfg.table_service, traffic))
+    bucket = ObjectStore(
+        connections=_connect_to(cfg, cfg.object_store, traffic)
+    )
     return {
         'claims': lambda kernel: TableClaims(
             store=store,
@@ -39,8 +47,11 @@
     }
 
 
-def _connect_to(cfg: NodeSettings, url: str) -> ServiceConnections:
+def _connect_to(
+    cfg: NodeSettings, url: str, traffic: Traffic
+) -> ServiceConnections:
     return ServiceConnections(
         address=parse_service_url(url),
         key=cfg.platform_key,
+        traffic=traffic,
     )
--- a/src/savorystand/node/sidecar.py
+++ b/src/savorystand/node/sidecar.py
@@ -32,6 +32,8 @@
 from savorystand.platform.worker_adapter import WorkerAdapter
 from savorystand.reporting.call_log import CallLog
 from savorystand.reporting.logs import EventLog
+from savorystand.reporting.traffic import Traffic
+from savorystand.reporting.traffic import TrafficLog
 from savorystand.retry.budget import BudgetLimits
 from savorystand.retry.policy import RetryPolicy
 from savorystand.store.connections import ServiceConnections
@@ -71,16 +73,19 @@
 
     Services start in the order of their factories and stop in reverse order.
     """
+    traffic = Traffic()
     factories: dict[str, Factory] = {
         'clock': lambda kernel: Clock(),
         'network': lambda kernel: DirectNetwork(),
+        'traffic': lambda kernel: traffic,
         **state_factories(cfg.node, node_id),
         'log': lambda kernel: EventLog(
             clock=kernel.find('clock', Clock),
             node_id=node_id,
         ),
         'observer': lambda kernel: CallLog(kernel=kernel),
-        **_store_factories(cfg),
+        'traffic log': lambda kernel: TrafficLog(kernel=kernel),
+        **_store_factories(cfg, traffic),
         **policy_factories(),
         'retry': lambda kernel: RetryPolicy(
             limits=_budget_limits(cfg), passes_retries=False
@@ -111,10 +116,14 @@
     return kernel
 
 
-def _store_factories(cfg: PlatformSettings) -> dict[str, Factory]:
+def _store_factories(
+    cfg: PlatformSettings, traffic: Traffic
+) -> dict[str, Factory]:
     generation = StoreGeneration()
     rows = RowClient(
-        connections=ServiceConnections(address=cfg.store, key=''),
+        connections=ServiceConnections(
+            address=cfg.store, key='', traffic=traffic
+        ),
         generation=generation,
     )
     feed = RowClient(
@@ -122,6 +131,7 @@
             address=cfg.store,
             key='',
             timeout_ms=_FEED_TIMEOUT_MS,
+            traffic=traffic,
         ),
         generation=generation,
     )
--- a/src/savorystand/reporting/logs.py
+++ b/src/savorystand/reporting/logs.py
@@ -53,6 +53,8 @@
     RATE_LIMIT_USED = 'rate-limit-used'
     ANNOUNCEMENT_REFUSED = 'announcement-refused'
     SETTINGS_RELOADED = 'settings-reloaded'
+    TRAFFIC_COUNTED = 'traffic-counted'
+    STORE_CALLS_COUNTED = 'store-calls-counted'
     NODE_STARTED = 'node-started'
     NODE_STOPPING = 'node-stopping'
     EVENTS_SUPPRESSED = 'events-suppressed'
--- a/src/savorystand/reporting/setup.py
+++ b/src/savorystand/reporting/setup.py
@@ -10,6 +10,7 @@
 from savorystand.reporting.logs import EventLog
 from savorystand.reporting.reporter import CallReporter
 from savorystand.reporting.statsd import StatsdSender
+from savorystand.reporting.traffic import Traffic
 from savorystand.tables.holder import TablesHolder
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
         'metrics': lambda kernel: StatsdSender(
             clock=kernel.find('clock', Clock),
             counters=kernel.find('counters', Counters),
+            traffic=kernel.find('traffic', Traffic),
             address=cfg.statsd,
         ),
         'observer': _build_observer,
--- a/src/savorystand/reporting/statsd.py
+++ b/src/savorystand/reporting/statsd.py
@@ -16,6 +16,7 @@
 
     from savorystand.clock import Clock
     from savorystand.reporting.counters import Counters
+    from savorystand.reporting.traffic import Traffic
     from savorystand.settings.node import Address
 
 METRIC_PREFIX = 'savorystand'
@@ -28,18 +29,20 @@
 class StatsdSender(Service):
     """Sends the increase of each counter once a second."""
 
-    __slots__ = ('_address', '_clock', '_counters', '_last_totals')
+    __slots__ = ('_address', '_clock', '_counters', '_last_totals', '_traffic')
 
     def __init__(
         self,
         *,
         clock: Clock,
         counters: Counters,
+        traffic: Traffic,
         address: Address | None,
     ) -> None:
         """Send to ``address`` over UDP; send nothing if it is None."""
         self._clock = clock
         self._counters = counters
+        self._traffic = traffic
         self._address = address
         self._last_totals: dict[str, int] = {}
 
@@ -72,6 +75,10 @@
                 ('cross-region-bytes', series.cross_region_bytes),
             )
         }
+        totals.update(
+            ('.'.join(map(_metric_name, name.split('.'))), total)
+            for name, total in self._traffic.totals().items()
+        )
         increases = {
             # The series of an idle route may have been dropped; a new one
             # starts at zero.
--- a/src/savorystand/store/connections.py
+++ b/src/savorystand/store/connections.py
@@ -12,6 +12,7 @@
 import httpcore
 
 from savorystand.clock import MS_PER_SECOND
+from savorystand.reporting.traffic import Traffic
 from savorystand.store.errors import StoreUnavailableError
 from savorystand.store.errors import StoreUnknownError
 
@@ -79,7 +80,14 @@
 class ServiceConnections:
     """Sends requests over a small pool of persistent connections."""
 
-    __slots__ = ('_address', '_backend', '_idle', '_key', '_timeout_ms')
+    __slots__ = (
+        '_address',
+        '_backend',
+        '_idle',
+        '_key',
+        '_timeout_ms',
+        '_traffic',
+    )
 
     def __init__(
         self,
@@ -87,11 +95,14 @@
         address: Address,
         key: str,
         timeout_ms: float = OPERATION_TIMEOUT_MS,
+        traffic: Traffic | None = None,
     ) -> None:
         """Connect to the service at ``address`` when requests need it.
 
-        ``key`` is sent as a bearer token unless it is empty.
+        ``key`` is sent as a bearer token unless it is empty. ``traffic``
+        counts the requests and the bodies of their responses.
         """
+        self._traffic = traffic or Traffic()
         self._address = address
         self._key = key
         self._timeout_ms = timeout_ms
@@ -107,9 +118,12 @@
                 and valid response arrived in time.
         """
         progress = _SendProgress()
+        kind = self._traffic.count_store_call(request.method, request.path)
         try:
             with anyio.fail_after(self._timeout_ms / MS_PER_SECOND):
-                return await self._exchange(request, progress)
+                response = await self._exchange(request, progress)
+            self._traffic.count_store_bytes(kind, len(response.body))
+            return response
         except TimeoutError:
             problem = f'no response within {self._timeout_ms} ms'
         except httpcore.TimeoutException:
--- a/src/savorystand/transport/connection.py
+++ b/src/savorystand/transport/connection.py
@@ -46,6 +46,7 @@
     from savorystand.call import TargetLoad
     from savorystand.transport.address import PeerAddress
     from savorystand.transport.pending import PendingCall
+    from savorystand.transport.writer import FrameObserver
 
 ControlCallback: TypeAlias = Callable[[Message], None]
 
@@ -77,6 +78,7 @@
         '_clock',
         '_frame_buffer',
         '_on_control',
+        '_on_frame',
         '_pending',
         '_pong_received',
         '_last_received_ms',
@@ -91,17 +93,20 @@
         clock: Clock,
         on_load: Callable[[TargetLoad], None],
         on_control: ControlCallback,
+        on_frame: FrameObserver | None = None,
     ) -> None:
         """Create the client side; ``run`` attaches it to a byte stream.
 
         ``on_load`` gets load reports. ``on_control`` gets control frames: all
         frames that are no load report, no pong and no part of a response or
-        refusal.
+        refusal. ``on_frame`` gets each frame that is sent or received, and its
+        encoded length.
         """
         self._clock = clock
+        self._on_frame = on_frame
         self._on_control = on_control
         self._pending = PendingCalls(on_load=on_load)
-        self._writer = FrameWriter()
+        self._writer = FrameWriter(on_frame=on_frame)
         self._last_received_ms = clock.now()
         self._pong_received = anyio.Event()
         self._frame_buffer = FrameBuffer()
@@ -253,6 +258,8 @@
     def _handle_bytes(self, received: bytes) -> None:
         self._last_received_ms = self._clock.now()
         for frame in self._frame_buffer.feed(received):
+            if self._on_frame is not None:
+                self._on_frame(frame, self._frame_buffer.frame_bytes)
             self._handle_frame(frame)
 
     def _handle_frame(self, frame: Message) -> None:
--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -15,6 +15,7 @@
 from savorystand.transport.connection import monitor_silence
 from savorystand.transport.connection import refuse_unconnected
 from savorystand.transport.errors import ConnectionLostError
+from savorystand.transport.frame_meter import FrameMeter
 from savorystand.transport.inbound import ControlResponder
 from savorystand.transport.inbound import InboundHandler
 from savorystand.transport.network import Network
@@ -56,6 +57,7 @@
         '_kernel',
         '_observers',
         '_locks',
+        '_meter',
         '_port',
         '_inbound_connections',
         '_tasks',
@@ -72,6 +74,7 @@
         self._observers = PeerObservers()
         self._inbound_connections: set[ServerConnection] = set()
         self._tasks: TaskGroup | None = None
+        self._meter = FrameMeter(kernel=kernel)
 
     def add_load_observer(self, observer: LoadObserver) -> None:
         """Call ``observer`` with each load report of a peer."""
@@ -185,6 +188,7 @@
             on_control=lambda frame: self._observers.notify_control(
                 peer, frame
             ),
+            on_frame=self._meter.observer(peer),
         )
         self._connections[peer] = conn
         self._tasks.start_soon(_run_contained, conn, stream)
--- a/src/savorystand/transport/writer.py
+++ b/src/savorystand/transport/writer.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from typing import TYPE_CHECKING
+from typing import TypeAlias
 
 import anyio
 
@@ -17,6 +18,8 @@
 
     from anyio.abc import ByteSendStream
 
+FrameObserver: TypeAlias = 'Callable[[Message, int], None]'
+
 # Bound on the queued chunks of one connection, so that an upload waits at its
 # source instead of filling the memory of the node.
 _MAX_QUEUED_CHUNKS = 8
@@ -31,14 +34,19 @@
 
     __slots__ = (
         '_chunks',
+        '_on_frame',
         '_space_freed',
         '_try_send',
         '_short_frames',
         '_wake',
     )
 
-    def __init__(self) -> None:
-        """Create an empty queue."""
+    def __init__(self, *, on_frame: FrameObserver | None = None) -> None:
+        """Create an empty queue.
+
+        ``on_frame`` is called with each frame and its encoded length.
+        """
+        self._on_frame = on_frame
         # Writes without the queue, if the stream supports that.
         self._try_send: Callable[[bytes], bool] | None = None
         self._short_frames: deque[bytes] = deque()
@@ -52,7 +60,10 @@
         Raises:
             FrameError: the frame exceeds ``MAX_FRAME_BYTES``.
         """
-        self.send_encoded(encode_frame(frame))
+        encoded = encode_frame(frame)
+        if self._on_frame is not None:
+            self._on_frame(frame, len(encoded))
+        self.send_encoded(encoded)
 
     def send_encoded(self, encoded: bytes) -> None:
         """Queue an encoded short frame, or write it at once if possible."""
@@ -82,6 +93,8 @@
                 await self._wait_for_space()
             if ended():
                 return
+            if self._on_frame is not None:
+                self._on_frame(frame, len(encoded))
             self._chunks.append(encoded)
             self._wake.set()
 
--- a/src/savorystand/wire/codec.py
+++ b/src/savorystand/wire/codec.py
@@ -134,13 +134,17 @@
 
 
 class FrameBuffer:
-    """Splits a byte stream into frames."""
+    """Splits a byte stream into frames.
 
-    __slots__ = ('_pending',)
+    ``frame_bytes`` is the length of the last frame, with its prefix.
+    """
+
+    __slots__ = ('_pending', 'frame_bytes')
 
     def __init__(self) -> None:
         """Create an empty buffer; the next byte starts a frame."""
         self._pending = bytearray()
+        self.frame_bytes = 0
 
     def feed(self, chunk: bytes) -> Iterator[Message]:
         """Append received bytes and yield each complete frame.
@@ -161,6 +165,7 @@
                 return
             body = bytes(self._pending[_LENGTH_PREFIX.size : end])
             del self._pending[:end]
+            self.frame_bytes = end
             frame = decode_struct(Frame(), body)
             _check_nested(frame)
             yield frame
--- a/tests/reporting/test_counters.py
+++ b/tests/reporting/test_counters.py
@@ -24,6 +24,7 @@
 from savorystand.reporting.series import WINDOW_COUNT
 from savorystand.reporting.series import WINDOW_MS
 from savorystand.reporting.statsd import StatsdSender
+from savorystand.reporting.traffic import Traffic
 from tests.reporting.builders import ANSWERED
 from tests.reporting.builders import OUTCOMES
 from tests.reporting.builders import call_of
@@ -45,7 +46,9 @@
     """A call must count in one outcome column and in its own period only."""
     clock = ManualClock()
     counters = Counters(clock=clock)
-    sender = StatsdSender(clock=clock, counters=counters, address=None)
+    sender = StatsdSender(
+        clock=clock, counters=counters, traffic=Traffic(), address=None
+    )
     sent = 0
     ended: list[int] = []
     for outcome, late, pause_ms in calls:
