Start with one call to the register beside peers that know all members

Change: a node that has reached an older peer through its seeds only makes sure that its row is there; members come from that peer. Any other node reads the register first, contacts the registered nodes, and writes only if its own row is missing. While it reaches nobody it reads again after 1 to 8 s, which replaces writing before reading; before, a lonely node did not read again at all. Test: test_discovery.py counts the calls of both starts, and has a node that finds another only at a later read. All three fail before the change.

--- a/src/savorystand/membership/discovery.py
+++ b/src/savorystand/membership/discovery.py
@@ -15,16 +15,19 @@
 from savorystand.clock import Clock
 from savorystand.kernel.service import Service
 from savorystand.membership.directory import MemberDirectory
+from savorystand.membership.member import MemberState
 from savorystand.reporting.events import dependency_changed
 from savorystand.reporting.logs import EventLog
 from savorystand.store.errors import StoreError
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Iterator
 
     from anyio.abc import TaskStatus
 
     from savorystand.kernel.kernel import Kernel
+    from savorystand.membership.member import Member
     from savorystand.settings.node import Address
     from savorystand.store.generation import StoreGeneration
 
@@ -32,6 +35,16 @@
 
 # Nodes that a new node contacts; the others learn of it through gossip.
 _MAX_CONTACTS = 24
+# A node that starts waits this long for the answers of its seeds. Those of
+# another region take 40 ms.
+_MIN_START_WAIT_MS = 50
+_MAX_START_WAIT_MS = 100
+# A node that has run for longer than another knows nearly all members.
+_COMPLETE_LIST_AGE_MS = 5000
+# A node that reaches no other reads the register again after this time, doubled
+# up to the longest.
+_MIN_ALONE_WAIT_MS = 1000
+_MAX_ALONE_WAIT_MS = 8000
 # Interval at which a node checks that it is still registered. It matters only for
 # a store that does not say that it came back from a copy.
 _CHECK_INTERVAL_MS = 60000
@@ -76,8 +89,11 @@
 class NodeDiscovery(Service):
     """Registers this node and contacts the registered nodes.
 
-    Each node adds itself before it reads, so that of two nodes that start
-    together at least one finds the other. Later changes spread by gossip.
+    A node that starts and has reached an older one through its seeds only
+    makes sure that it is registered; members and tables come from that peer.
+    Any other node contacts the registered ones, and reads the register again
+    while it reaches none, so that two nodes that start together find each
+    other. Later changes spread by gossip.
 
     A store that comes back from a copy may have lost addresses. Each node then
     checks its own and adds it again, at a random time within a span that grows
@@ -122,7 +138,15 @@
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Stay registered until cancelled; retry on store errors."""
         task_status.started()
-        await self._reach_store(self._register_and_contact)
+        await self._clock.sleep(
+            self._rng.uniform(_MIN_START_WAIT_MS, _MAX_START_WAIT_MS)
+        )
+        await self._reach_store(self._join)
+        alone_ms = _MIN_ALONE_WAIT_MS
+        while self._is_alone():
+            await self._clock.sleep(alone_ms * self._rng.uniform(0.5, 1))
+            alone_ms = min(2 * alone_ms, _MAX_ALONE_WAIT_MS)
+            await self._reach_store(self._contact_and_register)
         while True:
             await self._wait_for_check()
             await self._reach_store(self._check)
@@ -164,22 +188,49 @@
         )
         await self._clock.sleep(self._rng.uniform(0, spread_ms))
 
+    async def _join(self) -> str:
+        if not self._knows_older_peer():
+            return await self._contact_and_register()
+        if not await self._registry.contains(self._local_address):
+            await self._registry.add(self._local_address)
+        return 'members from peers'
+
     async def _check(self) -> str:
         if await self._registry.contains(self._local_address):
             return ''
-        return await self._register_and_contact()
+        return await self._contact_and_register()
 
-    async def _register_and_contact(self) -> str:
-        await self._registry.add(self._local_address)
-        addresses = [
+    async def _contact_and_register(self) -> str:
+        addresses = list(await self._registry.addresses())
+        others = [
             (address.host, address.port)
-            for address in await self._registry.addresses()
+            for address in addresses
             if address != self._local_address
         ]
-        self._rng.shuffle(addresses)
-        for host, port in addresses[:_MAX_CONTACTS]:
+        self._rng.shuffle(others)
+        for host, port in others[:_MAX_CONTACTS]:
             self._contact(host, port)
-        return f'{len(addresses)} addresses'
+        if self._local_address not in addresses:
+            await self._registry.add(self._local_address)
+        return f'{len(others)} addresses'
+
+    def _is_alone(self) -> bool:
+        return not any(self._live_peers())
+
+    def _knows_older_peer(self) -> bool:
+        # The list of a node that started a moment ago, as after a loss of all
+        # nodes, is not complete yet.
+        local = self._members.local_member()
+        return any(
+            peer.started_ms + _COMPLETE_LIST_AGE_MS < local.started_ms
+            for peer in self._live_peers()
+        )
+
+    def _live_peers(self) -> Iterator[Member]:
+        local = self._members.local_member()
+        for member in self._members.members():
+            if member is not local and member.state is not MemberState.DEAD:
+                yield member
 
     def _log_state(self, state: str, detail: str) -> None:
         self._log.write(dependency_changed('node register', state, detail))
--- a/tests/membership/test_discovery.py
+++ b/tests/membership/test_discovery.py
@@ -4,6 +4,7 @@
 
 import random
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -32,6 +33,8 @@
     def __init__(self) -> None:
         self.known: list[Address] = []
         self.added = 0
+        self.calls = 0
+        self.listed = 0
         self.down = False
 
     async def add(self, address: Address) -> None:
@@ -45,9 +48,11 @@
 
     async def addresses(self) -> list[Address]:
         self._check()
-        return self.known
+        self.listed += 1
+        return list(self.known)
 
     def _check(self) -> None:
+        self.calls += 1
         if self.down:
             raise StoreUnavailableError('down')
 
@@ -61,11 +66,11 @@
         self.generation = StoreGeneration()
         self.contacted: list[tuple[str, int]] = []
         self.kernel = Kernel()
-        membership = FakeMembership('node')
+        self.membership = FakeMembership('node')
         other = FakeMembership('other').local_member()
-        membership.others = [other for _ in range(members - 1)]
+        self.membership.others = [other for _ in range(members - 1)]
         self.kernel.register('clock', self.clock)
-        self.kernel.register('membership', membership)
+        self.kernel.register('membership', self.membership)
         self.kernel.register('log', EventLog(clock=self.clock, node_id='aa'))
 
     async def run(self, number: int, *, task_status: TaskStatus[None]) -> None:
@@ -144,6 +149,50 @@
         assert nodes.registry.added == 2
 
 
+# Guards against starts that read the whole register although their peers know
+# all members.
+async def test_start_beside_older_peers_makes_one_call() -> None:
+    """A node that starts again at its address is registered already."""
+    nodes = _Nodes(members=24)
+    nodes.registry.known = [Address(host='127.0.0.1', port=1)]
+    nodes.membership.local = replace(nodes.membership.local, started_ms=9000)
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(nodes.run, 1)
+        await nodes.advance(1)
+        tasks.cancel_scope.cancel()
+    assert (nodes.registry.calls, nodes.registry.listed) == (1, 0)
+    assert nodes.contacted == []
+
+
+# Guards against writes of all nodes that return from a loss of everything.
+async def test_registered_node_writes_nothing_at_its_start() -> None:
+    """Its peers have started with it, so that it contacts registered nodes."""
+    nodes = _Nodes(members=24)
+    nodes.registry.known = [
+        Address(host='127.0.0.1', port=port) for port in (1, 2)
+    ]
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(nodes.run, 1)
+        await nodes.advance(1)
+        tasks.cancel_scope.cancel()
+    assert (nodes.registry.calls, nodes.registry.added) == (1, 0)
+    assert nodes.contacted == [('127.0.0.1', 2)]
+
+
+# Guards against two nodes that start together and never find each other.
+async def test_node_that_reaches_no_other_reads_the_register_again() -> None:
+    """Each may have read before the other was added."""
+    async with _running(members=1, count=1) as nodes:
+        nodes.registry.known.append(Address(host='127.0.0.1', port=2))
+        await nodes.advance(3)
+        assert ('127.0.0.1', 2) in nodes.contacted
+        nodes.membership.others = [FakeMembership('other').local_member()]
+        await nodes.advance(9)
+        listed = nodes.registry.listed
+        await nodes.advance(20)
+        assert nodes.registry.listed == listed
+
+
 # Guards against writes of all nodes in the same second.
 async def test_registrations_after_a_restore_are_spread() -> None:
     """7,700 nodes use half of the 150 writes a second of a partition."""
