Let two nodes of each failure domain read the configuration for all

Cause: each node followed the feed of the store. Change: the nodes that tables/readers.py selects wait at the store; the others pull changes from the nearest peer that has them. Which nodes read is only a matter of cost: membership datagrams carry how long ago the store confirmed the revision, and a node whose last confirmation is older than 0.51 to 0.6 of the time in which a change has to be in force reads the store itself, and tells its region. So nobody has to notice that readers are killed, cut off, paused, refused or silent. A reader repeats its own read at the same age, which closes the gap of drawn waits on a node that reaches no peer. The generation of the store travels with the confirmation. A start waits 40 to 80 ms for peers before it reads. Distances between nodes have one module; targets, traffic and pulls use it. Fakes gained a confirmation and look up members. The test of long waits has its 24 readers in 12 failure domains, as two of each read now. A repeated read is late after 0.15 instead of 0.2 of the time, so that the third of three comes in time wherever the change falls.

--- a/src/savorystand/membership/membership.py
+++ b/src/savorystand/membership/membership.py
@@ -12,8 +12,10 @@
 
 from savorystand.clock import Clock
 from savorystand.kernel.service import Service
+from savorystand.membership.confirmation import StoreConfirmation
 from savorystand.membership.contacts import Contacts
 from savorystand.membership.datagrams import DatagramPort
+from savorystand.membership.distance import distance_between
 from savorystand.membership.exchanges import Exchanges
 from savorystand.membership.member import Member
 from savorystand.membership.member import MemberState
@@ -22,7 +24,6 @@
 from savorystand.membership.swim import Swim
 from savorystand.reporting.traffic import Traffic
 from savorystand.reporting.traffic import TrafficKind
-from savorystand.reporting.traffic import distance_between
 from savorystand.reporting.traffic import find_traffic
 from savorystand.transport.address import PeerAddress
 from savorystand.transport.network import Network
@@ -64,6 +65,7 @@
         '_swim',
         '_pull_responder',
         'contact',
+        'spread_confirmation',
     )
 
     def __init__(
@@ -99,6 +101,7 @@
                 find_traffic(kernel),
             ),
             on_contact=contacts.add,
+            confirmation=kernel.find('confirmation', StoreConfirmation),
         )
         self._swim.seeds = _seeds(cfg)
         self._exchanges = Exchanges(
@@ -110,6 +113,8 @@
         # Sends a probe and the local record to a host and port that were found
         # by other means than gossip.
         self.contact = self._swim.contact
+        # Tells some nearby members when the store confirmed the revision.
+        self.spread_confirmation = partial(self._swim.disseminate, nearby=True)
 
     def local_member(self) -> Member:
         """Return the record of this node."""
@@ -166,6 +171,8 @@
         if revision > local.revision:
             self._members.records.record_revision(local.peer.node_id, revision)
             self._swim.disseminate()
+            # Peers pull a new revision from the nearest node that has it.
+            self._swim.disseminate(nearby=True)
 
     def set_tables_responder(self, responder: FrameResponder) -> None:
         """Answer ``TablesPull`` frames of peers with ``responder``."""
--- a/src/savorystand/membership/outgoing.py
+++ b/src/savorystand/membership/outgoing.py
@@ -21,6 +21,7 @@
     import random
 
     from savorystand.clock import Clock
+    from savorystand.membership.confirmation import StoreConfirmation
     from savorystand.membership.probes import IndirectProbe
     from savorystand.membership.records import MemberRecords
 
@@ -38,6 +39,7 @@
 
     __slots__ = (
         '_allowance',
+        '_confirmation',
         '_rng',
         '_records',
         '_send_datagram',
@@ -51,9 +53,14 @@
         clock: Clock,
         rng: random.Random,
         send: DatagramSender,
+        confirmation: StoreConfirmation,
     ) -> None:
-        """Send datagrams with ``send``, which must not block."""
+        """Send datagrams with ``send``, which must not block.
+
+        Each of them carries ``confirmation``.
+        """
         self._records = records
+        self._confirmation = confirmation
         self._rng = rng
         self._send_datagram = send
         self._updates = UpdateQueue()
@@ -88,6 +95,7 @@
             leading.append(local)
         gossip.sender = local.peer.node_id
         gossip.revision = local.revision
+        self._confirmation.add_to(gossip)
         gossip.updates = [encode_member(member) for member in leading]
         used_bytes = len(encode_struct(gossip)) + _LIST_OVERHEAD_BYTES
         remaining_bytes = min(
@@ -123,9 +131,13 @@
             ack = ttypes.ProbeAck(sequence=probe.sequence)
             self.send(requester, ttypes.Gossip(ack=ack))
 
-    def disseminate(self, count: int) -> None:
-        """Send updates and table revision to ``count`` random members."""
-        for member in self.sample(count):
+    def disseminate(self, count: int, *, nearby: bool = False) -> None:
+        """Send updates and table revision to ``count`` random members.
+
+        With ``nearby`` these are members of the own region, if it has others.
+        """
+        receivers = self._sample_nearby(count) if nearby else self.sample(count)
+        for member in receivers:
             self.send(member.peer, ttypes.Gossip())
 
     def sample(self, count: int, *, excluded_id: str = '') -> list[Member]:
@@ -136,3 +148,10 @@
             member for member in drawn if member.peer.node_id != excluded_id
         ]
         return peers[:count]
+
+    def _sample_nearby(self, count: int) -> list[Member]:
+        peers = self._records.live_peers()
+        region = self._records.local.region
+        nearby = [member for member in peers if member.region == region]
+        candidates = nearby or peers
+        return self._rng.sample(candidates, min(count, len(candidates)))
--- a/src/savorystand/membership/swim.py
+++ b/src/savorystand/membership/swim.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import TypeAlias
 
+from savorystand.membership.confirmation import StoreConfirmation
 from savorystand.membership.conversion import MAX_UPDATES
 from savorystand.membership.conversion import decode_address
 from savorystand.membership.conversion import decode_gossip
@@ -46,6 +47,7 @@
 
     __slots__ = (
         '_clock',
+        '_confirmation',
         '_members',
         '_on_contact',
         '_outgoing',
@@ -67,12 +69,15 @@
         rng: random.Random,
         send: DatagramSender,
         on_contact: ContactObserver,
+        confirmation: StoreConfirmation | None = None,
     ) -> None:
         """Send datagrams with ``send``, which must not block.
 
         ``on_contact`` is called with the sender of a datagram if it was
-        unknown or believed dead before.
+        unknown or believed dead before. ``confirmation`` is exchanged with
+        the peers.
         """
+        self._confirmation = confirmation or StoreConfirmation(clock=clock)
         self._members = members
         self._clock = clock
         self._rng = rng
@@ -82,6 +87,7 @@
             clock=clock,
             rng=rng,
             send=send,
+            confirmation=self._confirmation,
         )
         # Sends a probe and the local record to a host and port; needs no node
         # id.
@@ -170,9 +176,13 @@
         if self._outgoing.queued():
             self._outgoing.disseminate(1)
 
-    def disseminate(self) -> None:
-        """Send a change of the local record to ``FANOUT`` members."""
-        self._outgoing.disseminate(FANOUT)
+    def disseminate(self, *, nearby: bool = False) -> None:
+        """Send a change of the local record to ``FANOUT`` members.
+
+        With ``nearby``, only members of the own region get it, if there are
+        any.
+        """
+        self._outgoing.disseminate(FANOUT, nearby=nearby)
 
     def receive(self, datagram: bytes, host: str, port: int) -> None:
         """Process a datagram; a malformed one is counted and dropped."""
@@ -191,6 +201,7 @@
         for update in received:
             self._members.merge(update)
         self._record_sender(sender, gossip.revision)
+        self._confirmation.receive(gossip, local_before.revision)
         if gossip.ack is not None:
             self._outgoing.forward_ack(
                 self._probes.acknowledge(gossip.ack.sequence, sender.node_id),
--- a/src/savorystand/node/factories.py
+++ b/src/savorystand/node/factories.py
@@ -12,6 +12,7 @@
 from savorystand.dispatch.dispatcher import Dispatcher
 from savorystand.dispatch.load_publisher import LoadPublisher
 from savorystand.dispatch.peer_dispatcher import PeerDispatcher
+from savorystand.membership.confirmation import StoreConfirmation
 from savorystand.membership.directory import FailureObserver
 from savorystand.membership.membership import Membership
 from savorystand.retry.executions import ExecutionRegistry
@@ -41,6 +42,9 @@
         'datagram authenticator': lambda kernel: DatagramAuthenticator(
             admin_key=cfg.admin_key
         ),
+        'confirmation': lambda kernel: StoreConfirmation(
+            clock=kernel.find('clock', Clock)
+        ),
         'membership': lambda kernel: Membership(
             kernel=kernel,
             cfg=cfg,
--- a/src/savorystand/node/sidecar.py
+++ b/src/savorystand/node/sidecar.py
@@ -17,6 +17,7 @@
 from savorystand.gateway.server import HttpListener
 from savorystand.gateway.target_client import TargetClient
 from savorystand.kernel.kernel import Kernel
+from savorystand.membership.confirmation import StoreConfirmation
 from savorystand.membership.discovery import NodeDiscovery
 from savorystand.membership.membership import Membership
 from savorystand.node.factories import dispatch_factories
@@ -136,6 +137,9 @@
         generation=generation,
     )
     return {
+        'store generation': lambda kernel: _share_generation(
+            kernel, generation
+        ),
         'follower': lambda kernel: TablesFollower(
             kernel=kernel,
             parse=parse_configuration,
@@ -154,6 +158,15 @@
     }
 
 
+def _share_generation(
+    kernel: Kernel, generation: StoreGeneration
+) -> StoreGeneration:
+    # Few nodes read the store; the others hear of its generation from peers.
+    confirmation = kernel.find('confirmation', StoreConfirmation)
+    confirmation.add_generation_observer(generation.observe)
+    return generation
+
+
 def _listener_factories(cfg: PlatformSettings) -> dict[str, Factory]:
     return {
         'control listener': lambda kernel: HttpListener(
--- a/src/savorystand/reporting/traffic.py
+++ b/src/savorystand/reporting/traffic.py
@@ -11,6 +11,7 @@
 from savorystand.clock import Clock
 from savorystand.kernel.errors import ServiceMissingError
 from savorystand.kernel.service import Service
+from savorystand.membership.distance import Distance
 from savorystand.reporting.logs import Event
 from savorystand.reporting.logs import EventLog
 from savorystand.reporting.logs import EventName
@@ -19,7 +20,6 @@
     from anyio.abc import TaskStatus
 
     from savorystand.kernel.kernel import Kernel
-    from savorystand.membership.member import Member
 
 # Two lines each time, also on an idle node.
 _LOG_INTERVAL_MS = 5 * MS_PER_SECOND
@@ -27,6 +27,9 @@
 # store whose paths hold names takes a bounded number of counters.
 _MAX_STORE_KINDS = 32
 _OTHER_STORE_CALLS = 'other'
+_DISTANCE_NAMES = {  # noqa: WPS407
+    distance: distance.name.lower().replace('_', '-') for distance in Distance
+}
 
 
 @final
@@ -41,17 +44,6 @@
     PINGS = 'pings'
 
 
-@final
-class Distance(Enum):
-    """How far away the other node is."""
-
-    OWN_DOMAIN = 'own-domain'
-    OWN_REGION = 'own-region'
-    OTHER_REGION = 'other-region'
-    # The other node is not, or no longer, in the member list.
-    UNKNOWN = 'unknown'
-
-
 @final
 class Traffic:
     """Counts bytes and calls since the start of the process.
@@ -102,7 +94,7 @@
     def totals(self) -> dict[str, int]:
         """Return all counters that are not zero, by name."""
         totals = {
-            f'traffic.{kind.value}.{distance.value}': size
+            f'traffic.{kind.value}.{_DISTANCE_NAMES[distance]}': size
             for (kind, distance), size in self._bytes.items()
         }
         for name, calls in self._store_calls.items():
@@ -156,14 +148,3 @@
         return kernel.find('traffic', Traffic)
     except ServiceMissingError:
         return Traffic()
-
-
-def distance_between(member: Member | None, local: Member) -> Distance:
-    """Return how far a member is from the local one; None if it is unknown."""
-    if member is None:
-        return Distance.UNKNOWN
-    if member.region != local.region:
-        return Distance.OTHER_REGION
-    if member.failure_domain != local.failure_domain:
-        return Distance.OWN_REGION
-    return Distance.OWN_DOMAIN
--- a/src/savorystand/routing/pool_view.py
+++ b/src/savorystand/routing/pool_view.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 from typing import final
 
+from savorystand.membership.distance import Distance
+from savorystand.membership.distance import distance_between
 from savorystand.routing.route_times import RouteTimes
 from savorystand.routing.target_stats import REPORT_TIMEOUT_MS
 from savorystand.routing.target_stats import TargetStats
@@ -21,7 +23,6 @@
 _MIN_PASS_SHARE = 0.02
 _PASS_SHARE_INCREASE = 0.05
 _PASS_SHARE_DECREASE_FACTOR = 0.8
-_OTHER_REGION = 2
 # How long the count of established targets is used: a count walks over all
 # targets of the pool.
 _COUNT_LIFETIME_MS = 200
@@ -101,14 +102,14 @@
             stats = (
                 target.stats if target else TargetStats(ramp_up_started_ms=now)
             )
-            group_index = distance(member, local_member)
+            distance = distance_between(member, local_member)
             updated = Target(
                 member=member,
                 stats=stats,
-                in_other_region=group_index == _OTHER_REGION,
+                in_other_region=distance is Distance.OTHER_REGION,
             )
             self._targets[member.peer.node_id] = updated
-            groups[group_index].append(updated)
+            groups[distance].append(updated)
         self.targets_by_distance = groups
 
     def limits_new_targets(self, now: float) -> bool:
@@ -186,13 +187,3 @@
             share *= _PASS_SHARE_DECREASE_FACTOR
         bounded = min(max(share, _MIN_PASS_SHARE), 1)
         self._pass_shares[importance] = bounded
-
-
-def distance(member: Member, local_member: Member) -> int:
-    """Return how far a member is from the local one.
-
-    0 in the same failure domain, 1 in the same region, 2 otherwise.
-    """
-    if member.region != local_member.region:
-        return _OTHER_REGION
-    return int(member.failure_domain != local_member.failure_domain)
--- a/src/savorystand/tables/feed_reader.py
+++ b/src/savorystand/tables/feed_reader.py
@@ -11,12 +11,13 @@
 
 from savorystand.clock import Clock
 from savorystand.membership.directory import MemberDirectory
-from savorystand.membership.member import MemberState
 from savorystand.reporting.events import dependency_changed
 from savorystand.reporting.events import tables_received
 from savorystand.reporting.logs import EventLog
 from savorystand.store.errors import HistoryLostError
 from savorystand.store.errors import StoreError
+from savorystand.tables.read_lease import ReadLease
+from savorystand.tables.readers import count_readers
 from savorystand.tables.repeated_read import RepeatedRead
 
 if TYPE_CHECKING:
@@ -31,12 +32,19 @@
 # a read on a new connection and its retries.
 _WAIT_FRACTION = 0.4
 _LATE_FRACTION = 0.2
+# A repeated read is late earlier, so that two lost ones leave time for a third.
+_LATE_AGAIN_FRACTION = 0.15
+# Time in which a revision that a peer has announced can be pulled.
+_PULL_FRACTION = 0.1
 # A read starts this long after a peer was found to have a newer revision. The
 # answer of the feed usually comes earlier.
 _EXPECTED_FRACTION = 0.04
-# Nodes of which one notices a lost feed tell the others. So many of them end
+# Readers of which one notices a lost feed tell the others. So many of them end
 # their wait, on average, within the wait of a node on its own.
 _WAITS_ENDED = 6
+# A node that starts waits this long for peers that have the tables.
+_MIN_START_WAIT_MS = 40
+_MAX_START_WAIT_MS = 80
 # Bounds the wait where changes may take long; connections to the store have a
 # timeout, too.
 _MAX_WAIT_MS = 8000
@@ -87,11 +95,14 @@
 
 
 class FeedReader:
-    """Reads the configuration once, then follows its changes.
+    """Follows the changes of the configuration, for this node or for others.
 
-    A request or answer that is lost without a reset must not keep a change
-    from all nodes, so some of them ask the store anew before the time to apply
-    one has passed. The others learn from them by gossip that they missed it.
+    Two nodes of each failure domain wait at the store for changes; the others
+    pull them from peers. A request or answer that is lost without a reset must
+    not keep a change from all readers, so some of them ask the store anew
+    before the time to apply one has passed.
+
+    The other nodes read the store themselves when ``ReadLease`` says so.
     """
 
     __slots__ = (
@@ -100,6 +111,7 @@
         '_clock',
         '_expected_revision',
         '_feed',
+        '_lease',
         '_log',
         '_members',
         '_rng',
@@ -124,6 +136,7 @@
         """
         self._apply_ms = apply_ms
         self._members = kernel.find('membership', MemberDirectory)
+        self._lease = ReadLease(kernel=kernel, rng=rng, apply_ms=apply_ms)
         self._expected_revision = 0
         # The read in progress.
         self._reading: RepeatedRead[FeedAnswer] | None = None
@@ -138,7 +151,11 @@
     async def run(self) -> None:
         """Follow the feed until cancelled; failed reads are retried."""
         position: FeedPosition | None = None
+        await self._wait_for_peers()
         while True:
+            if not self._lease.is_due():
+                position = None
+                await self._rely_on_others()
             try:
                 position = await self._read(position)
             except HistoryLostError as exc:
@@ -155,15 +172,36 @@
         if revision <= self._expected_revision:
             return
         self._expected_revision = revision
+        fraction = (
+            _PULL_FRACTION if self._reading is None else _EXPECTED_FRACTION
+        )
         self._clock.call_later(
-            self._apply_ms * _EXPECTED_FRACTION,
-            lambda: self._read_missed(revision),
+            self._apply_ms * fraction, lambda: self._read_missed(revision)
         )
 
     def _read_missed(self, revision: int) -> None:
-        if self._reading is not None and self._tables.revision() < revision:
+        if self._tables.revision() >= revision:
+            return
+        if self._reading is None:
+            self._lease.demand_read()
+        else:
             self._reading.repeat()
 
+    async def _wait_for_peers(self) -> None:
+        """Give peers the time to pass on the tables to a node that starts."""
+        await self._clock.sleep(
+            self._rng.uniform(_MIN_START_WAIT_MS, _MAX_START_WAIT_MS)
+        )
+        if self._tables.revision() < self._expected_revision:
+            await self._clock.sleep(self._apply_ms * _PULL_FRACTION)
+        if self._tables.revision() < max(1, self._expected_revision):
+            self._lease.demand_read()
+
+    async def _rely_on_others(self) -> None:
+        await self._lease.wait_until_due()
+        if self._lease.remaining_ms() <= 0:
+            self._log_state('unconfirmed', 'no peer has a later confirmation')
+
     async def _pause(self) -> None:
         await self._clock.sleep(
             self._rng.uniform(
@@ -183,11 +221,15 @@
                     document, used=used, source='store', position=position
                 )
             )
+        self._lease.record_read(position.generation)
         return position
 
     async def _answer(self, position: FeedPosition | None) -> FeedAnswer:
         late_ms = self._apply_ms * _LATE_FRACTION
-        reading = RepeatedRead[FeedAnswer](clock=self._clock, late_ms=late_ms)
+        reading = RepeatedRead[FeedAnswer](
+            clock=self._clock,
+            late_ms=self._apply_ms * _LATE_AGAIN_FRACTION,
+        )
         newest = self._feed.newest
         if position is None:
             first, again, first_late_ms = newest, newest, late_ms
@@ -197,6 +239,7 @@
             again = partial(self._feed.changes, position, 0)
             first_late_ms = wait_ms + late_ms
         self._reading = reading
+        self._repeat_if_unconfirmed(reading)
         try:
             answer = await reading.run(
                 first, again, first_late_ms=first_late_ms
@@ -207,6 +250,19 @@
             self._log_state('late', f'{reading.repeated} further reads')
         return answer
 
+    def _repeat_if_unconfirmed(self, reading: RepeatedRead[FeedAnswer]) -> None:
+        # A reader that reaches no peer would otherwise rely on other readers
+        # to notice a lost feed.
+        if reading is not self._reading:
+            return
+        check_ms = self._lease.remaining_ms()
+        if check_ms <= 1:
+            reading.repeat()
+            check_ms = self._apply_ms * _LATE_AGAIN_FRACTION
+        self._clock.call_later(
+            check_ms, lambda: self._repeat_if_unconfirmed(reading)
+        )
+
     def _draw_wait_ms(self) -> float:
         """Return a random wait, so that the waits of nodes end at all times.
 
@@ -214,11 +270,7 @@
         distribution keeps their later ends evenly spread.
         """
         single_ms = self._apply_ms * _WAIT_FRACTION
-        live = sum(
-            member.state is not MemberState.DEAD
-            for member in self._members.members()
-        )
-        mean_ms = single_ms * live / _WAITS_ENDED
+        mean_ms = single_ms * count_readers(self._members) / _WAITS_ENDED
         if mean_ms > single_ms:
             wait_ms = self._rng.expovariate(1 / mean_ms)
         else:
--- a/src/savorystand/tables/follower.py
+++ b/src/savorystand/tables/follower.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Protocol
 from typing import TypeAlias
@@ -15,6 +16,8 @@
 from savorystand.clock import Clock
 from savorystand.kernel.service import Service
 from savorystand.membership.directory import MemberDirectory
+from savorystand.membership.distance import Distance
+from savorystand.membership.distance import distance_between
 from savorystand.reporting.events import tables_received
 from savorystand.reporting.events import tables_rejected
 from savorystand.reporting.logs import EventLog
@@ -41,6 +44,9 @@
 
 # A peer that has not sent a part within this time is replaced by another one.
 _PART_TIMEOUT_MS = 500
+# A peer in another region is asked this part of the time to apply a change after
+# it has announced a revision. A nearer one usually has it by then.
+_FAR_PULL_FRACTION = 0.02
 # Time within which an accepted change is in force on all nodes.
 _APPLY_MS = 8000
 
@@ -75,6 +81,9 @@
     """
 
     __slots__ = (
+        '_apply_ms',
+        '_clock',
+        '_distance',
         '_document',
         '_feed_reader',
         '_holder',
@@ -113,9 +122,12 @@
         self._membership = kernel.find('membership', RevisionGossip)
         self._parse = parse
         shared_rng = rng or random.Random()
-        self._puller = TablesPuller(rng=shared_rng)
+        self._clock = kernel.find('clock', Clock)
+        self._apply_ms = apply_ms
+        self._distance = partial(_distance, self._membership)
+        self._puller = TablesPuller(rng=shared_rng, distance=self._distance)
         self.reader = PlatformReader(
-            clock=kernel.find('clock', Clock),
+            clock=self._clock,
             directory=self._membership,
             tables=self,
             source=source,
@@ -158,8 +170,14 @@
             return
         if self._feed_reader is not None:
             self._feed_reader.expect(revision)
-        if self._puller.observe_revision(revision, peer):
+        if not self._puller.observe_revision(revision, peer):
+            return
+        if self._distance(peer) < Distance.OTHER_REGION:
             self._pull_needed.set()
+        else:
+            self._clock.call_later(
+                self._apply_ms * _FAR_PULL_FRACTION, self._pull_needed.set
+            )
 
     def respond(self, frame: Message) -> Message | None:
         """Return the part that a ``TablesPull`` frame requests, if any."""
@@ -275,3 +293,8 @@
         if frame.tables_push is not None:
             self._next_request = self.accept(peer, frame)
             self._part_received.set()
+
+
+def _distance(directory: MemberDirectory, peer: PeerAddress) -> Distance:
+    member = directory.lookup(peer.node_id)
+    return distance_between(member, directory.local_member())
--- a/src/savorystand/tables/pulling.py
+++ b/src/savorystand/tables/pulling.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from savorystand.tables.document import TablesDocument
     from savorystand.transport.address import PeerAddress
@@ -25,15 +26,22 @@
 
     __slots__ = (
         '_assembly',
+        '_distance',
         '_peer_revisions',
         '_rng',
         'malformed_parts',
         'peer',
     )
 
-    def __init__(self, *, rng: random.Random) -> None:
-        """Start without peers; ``rng`` chooses among equal ones."""
+    def __init__(
+        self, *, rng: random.Random, distance: Callable[[PeerAddress], int]
+    ) -> None:
+        """Start without peers; ``rng`` chooses among equal ones.
+
+        ``distance`` returns a greater number for a peer that is farther away.
+        """
         self._rng = rng
+        self._distance = distance
         self._peer_revisions: dict[PeerAddress, int] = {}
         self._assembly = PartAssembly()
         # The peer from which a revision is being pulled.
@@ -68,20 +76,23 @@
         }
 
     def select_peer(self) -> PeerAddress | None:
-        """Start a pull from a random peer among those with the newest revision.
+        """Start a pull from a peer among those with the newest revision.
 
-        Return None if no peer has a newer one.
+        It is a random one of the nearest. Return None if no peer has a newer
+        revision.
         """
         self._assembly = PartAssembly()
         self.peer = None
         if self._peer_revisions:
             newest = max(self._peer_revisions.values())
+            holders = [
+                peer
+                for peer, revision in self._peer_revisions.items()
+                if revision == newest
+            ]
+            nearest = min(map(self._distance, holders))
             self.peer = self._rng.choice(
-                [
-                    peer
-                    for peer, revision in self._peer_revisions.items()
-                    if revision == newest
-                ],
+                [peer for peer in holders if self._distance(peer) == nearest]
             )
         return self.peer
 
--- a/src/savorystand/tables/readers.py
+++ b/src/savorystand/tables/readers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from savorystand.membership.member import MemberState
@@ -31,6 +32,17 @@
     return lower_ranked < _READERS_PER_DOMAIN
 
 
+def count_readers(directory: MemberDirectory) -> int:
+    """Return how many nodes read for the failure domains, at least 1."""
+    domains = Counter(
+        member.failure_domain
+        for member in directory.members()
+        if member.state in _READING_STATES
+    )
+    readers = (min(_READERS_PER_DOMAIN, count) for count in domains.values())
+    return max(1, sum(readers))
+
+
 def _rank(member: Member) -> bytes:
     node_id = member.peer.node_id
     text = f'{member.failure_domain} {node_id}'
--- a/src/savorystand/transport/frame_meter.py
+++ b/src/savorystand/transport/frame_meter.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING
 
 from savorystand.membership.directory import MemberDirectory
-from savorystand.reporting.traffic import Distance
+from savorystand.membership.distance import Distance
+from savorystand.membership.distance import distance_between
 from savorystand.reporting.traffic import TrafficKind
-from savorystand.reporting.traffic import distance_between
 from savorystand.reporting.traffic import find_traffic
 
 if TYPE_CHECKING:
--- a/src/savorystand/wire/gen/wire/ttypes.py
+++ b/src/savorystand/wire/gen/wire/ttypes.py
@@ -2762,6 +2762,8 @@
      - ack
      - request
      - updates
+     - confirmed_age_ms
+     - store_generation
 
     """
 
@@ -2772,16 +2774,20 @@
         'ack',
         'request',
         'updates',
+        'confirmed_age_ms',
+        'store_generation',
     )
 
 
-    def __init__(self, sender=None, revision=None, probe=None, ack=None, request=None, updates=None,):
+    def __init__(self, sender=None, revision=None, probe=None, ack=None, request=None, updates=None, confirmed_age_ms=None, store_generation=None,):
         self.sender = sender
         self.revision = revision
         self.probe = probe
         self.ack = ack
         self.request = request
         self.updates = updates
+        self.confirmed_age_ms = confirmed_age_ms
+        self.store_generation = store_generation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2831,6 +2837,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.confirmed_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.store_generation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2868,6 +2884,14 @@
                 iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.confirmed_age_ms is not None:
+            oprot.writeFieldBegin('confirmed_age_ms', TType.I32, 7)
+            oprot.writeI32(self.confirmed_age_ms)
+            oprot.writeFieldEnd()
+        if self.store_generation is not None:
+            oprot.writeFieldBegin('store_generation', TType.I64, 8)
+            oprot.writeI64(self.store_generation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3102,6 +3126,8 @@
     (4, TType.STRUCT, 'ack', [ProbeAck, None], None, ),  # 4
     (5, TType.STRUCT, 'request', [ProbeRequest, None], None, ),  # 5
     (6, TType.LIST, 'updates', (TType.STRUCT, [Member, None], False), None, ),  # 6
+    (7, TType.I32, 'confirmed_age_ms', None, None, ),  # 7
+    (8, TType.I64, 'store_generation', None, None, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/membership/fake_network.py
+++ b/tests/membership/fake_network.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from savorystand.clock import ManualClock
+from savorystand.membership.confirmation import StoreConfirmation
 from savorystand.membership.contacts import Contacts
 from savorystand.membership.conversion import MAX_DATAGRAM_BYTES
 from savorystand.membership.member import Member
@@ -53,12 +54,14 @@
         self.contacts = Contacts(
             records=self.records, clock=net.clock, rng=net.rng
         )
+        self.confirmation = StoreConfirmation(clock=net.clock)
         self.swim = Swim(
             members=self.members,
             clock=net.clock,
             rng=net.rng,
             send=lambda payload, host, to: net.send(port, to, payload),
             on_contact=self.contacts.add,
+            confirmation=self.confirmation,
         )
         self.swim.seeds = tuple(
             (HOST, seed) for seed in net.seeds if seed != port
--- a/tests/membership/test_bounds.py
+++ b/tests/membership/test_bounds.py
@@ -16,6 +16,7 @@
 
 from savorystand.clock import ManualClock
 from savorystand.membership.allowance import BYTES_PER_SECOND
+from savorystand.membership.confirmation import StoreConfirmation
 from savorystand.membership.conversion import MAX_NAME_BYTES
 from savorystand.membership.conversion import decode_address
 from savorystand.membership.conversion import encode_member
@@ -44,6 +45,8 @@
             sequence=1, node_id='other', host=HOST, port=1
         ),
         updates=[local],
+        confirmed_age_ms=10,
+        store_generation=2,
     )
     return encode_struct(gossip)
 
@@ -144,6 +147,7 @@
         clock=clock,
         rng=random.Random(4),
         send=lambda datagram, host, port: sent.append(datagram),
+        confirmation=StoreConfirmation(clock=clock),
     )
     for number in range(1, 300):
         records.put(_record(number))
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -19,6 +19,7 @@
 
 from savorystand.clock import Clock
 from savorystand.kernel.kernel import Kernel
+from savorystand.membership.confirmation import StoreConfirmation
 from savorystand.membership.member import MemberState
 from savorystand.membership.membership import Membership
 from savorystand.reporting.logs import EventLog
@@ -110,6 +111,7 @@
     kernel.register(
         'datagram authenticator', DatagramAuthenticator(admin_key='k')
     )
+    kernel.register('confirmation', StoreConfirmation(clock=Clock()))
     membership = Membership(kernel=kernel, cfg=cfg, node_id=name)
     kernel.register('membership', membership)
     kernel.register('control', membership)
--- a/tests/tables/test_feed_reader.py
+++ b/tests/tables/test_feed_reader.py
@@ -8,6 +8,7 @@
 
 import random
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -15,6 +16,7 @@
 
 from savorystand.clock import ManualClock
 from savorystand.kernel.kernel import Kernel
+from savorystand.membership.confirmation import StoreConfirmation
 from savorystand.reporting.logs import EventLog
 from savorystand.reporting.logs import EventName
 from savorystand.store.errors import HistoryLostError
@@ -100,6 +102,7 @@
     kernel.register('clock', clock)
     kernel.register('log', log)
     kernel.register('membership', FakeMembership('node'))
+    kernel.register('confirmation', StoreConfirmation(clock=clock))
     reader = FeedReader(
         kernel=kernel,
         feed=feed,
@@ -205,8 +208,13 @@
     kernel.register('clock', feed.clock)
     kernel.register('log', _Log())
     membership = FakeMembership('node')
-    membership.others = [membership.local_member() for _ in range(members - 1)]
+    # Two in each failure domain, all of which read for others.
+    membership.others = [
+        replace(membership.local_member(), failure_domain=str(number // 2))
+        for number in range(members - 1)
+    ]
     kernel.register('membership', membership)
+    kernel.register('confirmation', StoreConfirmation(clock=feed.clock))
     reader = FeedReader(
         kernel=kernel,
         feed=feed,
@@ -287,7 +295,7 @@
         feed = _LosingFeed()
         feed.seed = len(waits)
         async with _follow(feed, members=24):
-            await feed.advance(100)
+            await feed.advance(1000)
         waits.append(feed.longest_wait_ms)
     assert 2 <= sum(wait < 1000 for wait in waits) <= 10
     assert 2500 <= sum(waits) / len(waits) <= 5000
--- a/tests/tables/test_follower.py
+++ b/tests/tables/test_follower.py
@@ -62,7 +62,8 @@
         return []
 
     def lookup(self, node_id: str) -> Member | None:
-        raise NotImplementedError
+        by_id = {member.peer.node_id: member for member in self.others}
+        return by_id.get(node_id)
 
     def members(self) -> Iterable[Member]:
         return [self.local, *self.others]
@@ -73,6 +74,9 @@
     def leave(self) -> None:
         """Not used."""
 
+    def spread_confirmation(self) -> None:
+        """Do nothing: the peers receive no gossip either."""
+
     def add_revision_observer(
         self,
         observer: Callable[[int, PeerAddress], None],
@@ -245,7 +249,9 @@
     node = make_follower('node')
     node.install(make_document(7))
     assert not node.install(make_document(7, size=3))
-    pull = TablesPuller(rng=random.Random(1)).request(0)
+    pull = TablesPuller(rng=random.Random(1), distance=lambda peer: 0).request(
+        0
+    )
     response = node.respond(pull)
     assert response is not None
     assert response.tables_push.routes == make_document(7).routes
@@ -280,3 +286,20 @@
         await node.reader.read()
         revisions.append(node.revision())
     assert revisions.count(2) == 2
+
+
+# Guards against pulls of each change by all nodes across regions.
+def test_revision_is_pulled_from_the_nearest_node_that_has_it() -> None:
+    """A node of the own failure domain comes before one of another region."""
+    far = PeerAddress(node_id='far', host='127.0.0.1', port=2)
+    near = PeerAddress(node_id='near', host='127.0.0.1', port=3)
+    distances = {far: 2, near: 0}
+    for seed in range(20):
+        puller = TablesPuller(
+            rng=random.Random(seed), distance=distances.__getitem__
+        )
+        puller.observe_revision(3, far)
+        puller.observe_revision(3, near)
+        assert puller.select_peer() == near
+        puller.drop_peer()
+        assert puller.select_peer() == far
--- a/thrift/wire.thrift
+++ b/thrift/wire.thrift
@@ -209,4 +209,8 @@
   4: optional ProbeAck ack,
   5: optional ProbeRequest request,
   6: required list<Member> updates,
+  // Milliseconds since the store is known to have had no revision newer than
+  // this one, and the generation of the store at that time; unset if unknown.
+  7: optional i32 confirmed_age_ms,
+  8: optional i64 store_generation,
 }
