Take the parent of a call from its request id

Cause: the parent of a call with a shorter limit of its own was taken to be the route that most often calls its route. Change: workers extend the id of the request that they serve to that of a call, as the logs show. A running execution with that id is the parent; other requests are matched by deadlines as before.

--- a/src/savorystand/dispatch/parents.py
+++ b/src/savorystand/dispatch/parents.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from savorystand.call import Importance
     from savorystand.kernel.kernel import Kernel
+    from savorystand.retry.executions import Execution
     from savorystand.tables.route import Route
 
 # A target passes on the remaining time of its own deadline rounded to whole
@@ -27,6 +28,8 @@
 # adapt to a changed configuration.
 _MAX_REQUESTS = 400
 _MAX_ROUTES = 1000
+# Between the id of a request and what a target adds to it for a call.
+_ID_SEPARATOR = '.'
 
 
 @final
@@ -49,12 +52,13 @@
 
 
 class ParentInference:
-    """Infers the parent execution of a request from its deadline.
+    """Infers the parent execution of a request from its id or deadline.
 
-    The targets of this platform do not propagate the context, but the calls
-    that they make expire together with the execution that makes them. For
-    requests with a shorter limit of their own the parent is inferred from the
-    route that most often calls theirs.
+    The targets of this platform do not propagate the context. Some extend the
+    id of the request that they serve to that of a call, which names the parent
+    beyond doubt. Otherwise, the calls that a target makes expire together with
+    the execution that makes them. For requests with a shorter limit of their
+    own the parent is inferred from the route that most often calls theirs.
     """
 
     __slots__ = ('_parent_routes', '_counts', '_registry')
@@ -66,12 +70,25 @@
         # By called route: how often executions of each parent route call it.
         self._parent_routes: dict[str, Counter[str]] = {}
 
-    def find(self, route: Route, deadline_ms: float) -> ParentExecution | None:
+    def find(
+        self, route: Route, deadline_ms: float, request_id: str
+    ) -> ParentExecution | None:
         """Return the parent of a request, None if a caller sent it.
 
         ``deadline_ms`` is the deadline that the request itself asks for,
         before the limits of the route apply.
         """
+        parent_id = request_id.rpartition(_ID_SEPARATOR)[0]
+        # Requests without an id are not parents of each other.
+        if parent_id:
+            parent = self._registry.find_by_request(parent_id)
+            if parent is not None:
+                return _inherited(parent)
+        return self._find_by_deadline(route, deadline_ms)
+
+    def _find_by_deadline(
+        self, route: Route, deadline_ms: float
+    ) -> ParentExecution | None:
         counts = self._route_counts(route.name)
         counts.requests += 1
         parent = self._registry.find_by_deadline(
@@ -87,9 +104,7 @@
             return None
         if parent is None:
             return self._most_common_parent(route.name)
-        return ParentExecution(
-            route=parent.route, importance=parent.context.importance
-        )
+        return _inherited(parent)
 
     def _route_counts(self, name: str) -> _Counts:
         counts = self._counts.get(name)
@@ -115,3 +130,9 @@
         if importance is None:
             return None
         return ParentExecution(route=parent_route, importance=importance)
+
+
+def _inherited(parent: Execution) -> ParentExecution:
+    return ParentExecution(
+        route=parent.route, importance=parent.context.importance
+    )
--- a/src/savorystand/platform/ingress.py
+++ b/src/savorystand/platform/ingress.py
@@ -144,7 +144,8 @@
     def _call(
         self, request: Request, request_id: str, route: Route, remaining_ms: int
     ) -> Call:
-        parent = self._parents.find(route, request.received_ms + remaining_ms)
+        asked_ms = request.received_ms + remaining_ms
+        parent = self._parents.find(route, asked_ms, request_id)
         limit_ms = min(remaining_ms, route.limit_ms or remaining_ms)
         forwarded = [
             pair for pair in request.headers if pair[0] not in _REPLACED_HEADERS
--- a/src/savorystand/retry/executions.py
+++ b/src/savorystand/retry/executions.py
@@ -36,7 +36,14 @@
 class ExecutionRegistry:
     """The running executions of the local target, by id."""
 
-    __slots__ = ('_by_route', '_deadlines', '_numbers', '_prefix', '_running')
+    __slots__ = (
+        '_by_request',
+        '_by_route',
+        '_deadlines',
+        '_numbers',
+        '_prefix',
+        '_running',
+    )
 
     def __init__(self) -> None:
         """Start with no running execution."""
@@ -44,6 +51,8 @@
         self._prefix = secrets.token_hex(_ID_BYTES)
         self._numbers = itertools.count(1)
         self._running: dict[str, Execution] = {}
+        # Of the executions of one request the last one counts.
+        self._by_request: dict[str, Execution] = {}
         # Deadline and id of each running execution, sorted.
         self._deadlines: list[tuple[float, str]] = []
         # Number of running executions by route and importance.
@@ -62,6 +71,7 @@
             retries_left=context.retries_left,
         )
         self._running[execution.execution_id] = execution
+        self._by_request[context.request_id] = execution
         bisect.insort(self._deadlines, _deadline_key(execution))
         counts = self._by_route.get(route)
         if counts is None:
@@ -74,6 +84,9 @@
         """Remove an execution; calls it makes later are refused."""
         if self._running.pop(execution.execution_id, None) is None:
             return
+        request_id = execution.context.request_id
+        if self._by_request.get(request_id) is execution:
+            del self._by_request[request_id]
         del self._deadlines[
             bisect.bisect_left(self._deadlines, _deadline_key(execution))
         ]
@@ -86,6 +99,10 @@
         """Return the running execution with this id, or None."""
         return self._running.get(execution_id)
 
+    def find_by_request(self, request_id: str) -> Execution | None:
+        """Return the running execution of a request, or None."""
+        return self._by_request.get(request_id)
+
     def find_by_deadline(
         self, deadline_ms: float, tolerance_ms: float
     ) -> Execution | None:
