Send few member updates between regions

Cause: every node sent each update 24 times, to members of all regions alike.

Change: queued updates go to the own region; a datagram to another region carries at most 400 bytes of them, with probes, acknowledgements and announcements of the own state. A region needs only a few of these to learn of a change, and exchanges of member lists cross regions as before. Tests: the bytes of such datagrams; 45 nodes of three regions agree within 6 s of their start and of the replacement of seven, as before the change.

--- a/src/savorystand/membership/outgoing.py
+++ b/src/savorystand/membership/outgoing.py
@@ -29,6 +29,9 @@
 
 # A receiver recorded in one of these states gets its record, to refute it.
 _REFUTABLE_STATES = frozenset((MemberState.SUSPECT, MemberState.DEAD))
+# Bytes of updates in a datagram to another region, about four records. A region
+# learns of a change from the first few of these, and spreads it by itself.
+_MAX_FAR_BYTES = 400
 # Bounds how much longer the encoded header of a list of updates is than that of
 # an empty list.
 _LIST_OVERHEAD_BYTES = 8
@@ -101,6 +104,8 @@
         remaining_bytes = min(
             MAX_DATAGRAM_BYTES - used_bytes, self._allowance.remaining_bytes()
         )
+        if receiver is None or receiver.region != local.region:
+            remaining_bytes = min(remaining_bytes, _MAX_FAR_BYTES)
         gossip.updates += self._updates.take(
             remaining_bytes, len(self._records)
         )
--- a/src/savorystand/membership/swim.py
+++ b/src/savorystand/membership/swim.py
@@ -172,9 +172,12 @@
             self._outgoing.contact(host, port)
 
     def gossip(self) -> None:
-        """Send queued updates to one member."""
+        """Send queued updates to one member of the own region.
+
+        Other regions get them with probes, acknowledgements and exchanges.
+        """
         if self._outgoing.queued():
-            self._outgoing.disseminate(1)
+            self._outgoing.disseminate(1, nearby=True)
 
     def disseminate(self, *, nearby: bool = False) -> None:
         """Send a change of the local record to ``FANOUT`` members.
--- a/tests/membership/fake_network.py
+++ b/tests/membership/fake_network.py
@@ -46,7 +46,7 @@
             version=1,
             state=MemberState.JOINING,
             failure_domain=str(port % 2),
-            region='r',
+            region=str(port % net.regions),
             pool='',
         )
         self.members = MemberList(clock=net.clock, local=local)
@@ -105,6 +105,7 @@
     seeds: tuple[int, ...] = (BASE_PORT, BASE_PORT + 1)
     loss: float = 0
     delay_ms: int = 1
+    regions: int = 1
     sides: dict[int, int] = field(default_factory=dict)
     queue: list[tuple[float, int, int, int, bytes]] = field(
         default_factory=list
--- a/tests/membership/test_bounds.py
+++ b/tests/membership/test_bounds.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
@@ -158,6 +159,34 @@
     assert BYTES_PER_SECOND < sent_per_second < 16000
 
 
+# Guards against updates of all members that each node sends to all regions,
+# which a link between regions is paid for by the byte.
+def test_datagrams_to_other_regions_carry_few_updates() -> None:
+    """The updates themselves are those of all regions."""
+    clock = ManualClock()
+    sent: list[bytes] = []
+    records = MemberRecords(clock=clock, local=_record(0))
+    outgoing = Outgoing(
+        records=records,
+        clock=clock,
+        rng=random.Random(4),
+        send=lambda datagram, host, port: sent.append(datagram),
+        confirmation=StoreConfirmation(clock=clock),
+    )
+    far = replace(_record(1), region='other')
+    records.put(far)
+    for number in range(2, 300):
+        records.put(_record(number))
+    for _ in range(100):
+        clock.advance(1000)
+        outgoing.send(far.peer, ttypes.Gossip())
+    assert 200 < max(map(len, sent)) < 500
+    sent.clear()
+    outgoing.disseminate(40, nearby=True)
+    assert max(map(len, sent)) > 1000
+    assert len(sent) == 40
+
+
 def test_long_zone_of_an_address_is_malformed() -> None:
     """A record that no datagram can carry would hold all others back."""
     record = ttypes.ProbeRequest(
--- a/tests/membership/test_convergence.py
+++ b/tests/membership/test_convergence.py
@@ -133,3 +133,18 @@
             for node in net.nodes.values()
         )
     assert net.converged()
+
+
+# Guards against regions that learn of each other's members too late, since
+# datagrams between them carry few updates.
+def test_members_of_all_regions_are_known_within_seconds() -> None:
+    """All nodes start at once; then some of each region are replaced."""
+    net = FakeNetwork(rng=random.Random(6), regions=3, delay_ms=20)
+    for number in range(45):
+        net.start(BASE_PORT + number)
+    net.run(6000)
+    assert net.converged()
+    for number in range(0, 45, 7):
+        net.start(BASE_PORT + number)
+    net.run(6000)
+    assert net.converged()
