Let the test of signals pass in a run that ignores SIGHUP

Shown by one run of this test with nohup (fails) and one without (passes). Change: the test starts its child with the default action of SIGHUP. Its checks are the same. Measured: passes with and without nohup.

--- a/tests/lab/test_children.py
+++ b/tests/lab/test_children.py
@@ -11,11 +11,21 @@
 from savorystand.lab.children import Child
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from pathlib import Path
 
 pytestmark = pytest.mark.anyio
 
 
+@pytest.fixture
+def _hangup_is_not_ignored() -> Iterator[None]:
+    # Children inherit that a signal is ignored, as by a test run under nohup.
+    inherited = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    yield
+    signal.signal(signal.SIGHUP, inherited)
+
+
+@pytest.mark.usefixtures('_hangup_is_not_ignored')
 async def test_signals_that_a_process_survives(tmp_path: Path) -> None:
     """A signal must not be sent to an interpreter that would end by it.
 
