Run the simulated estates on the event loop of the fuzzer

Cause: duplicates showed a second event loop on virtual time beside the one of the lab. Change: the tests use that one.

--- a/tests/dispatch/test_mass_restart_under_load.py
+++ b/tests/dispatch/test_mass_restart_under_load.py
@@ -13,7 +13,7 @@
 from savorystand.clock import MS_PER_SECOND
 from tests.simulation.estate import Estate
 from tests.simulation.estate import Operation
-from tests.simulation.virtual_time import run_in_virtual_time
+from tests.simulation.running import run_in_virtual_time
 
 _OPERATIONS = (
     Operation(
--- a/tests/simulation/estate.py
+++ b/tests/simulation/estate.py
@@ -29,6 +29,7 @@
 from savorystand.dispatch.inbound import Inbound
 from savorystand.dispatch.local_pool import LocalPool
 from savorystand.kernel.kernel import Kernel
+from savorystand.lab.fuzz.virtual_time import LoopClock
 from savorystand.membership.member import Member
 from savorystand.membership.member import MemberState
 from savorystand.retry.budget import BudgetLimits
@@ -44,7 +45,6 @@
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
-from tests.simulation.virtual_time import LoopClock
 
 if TYPE_CHECKING:
     from savorystand.call import Outcome
@@ -221,6 +221,7 @@
     ) -> None:
         """Start without nodes; targets are cold for ``cold_ms``."""
         self.clock = LoopClock()
+        self._began_ms = self.clock.now()
         self.rng = random.Random(seed)
         self.cold_ms = cold_ms
         self.operations = {one.name: one for one in operations}
@@ -285,7 +286,7 @@
     async def request(self, operation: Operation) -> None:
         """Send a request to a random node; repeat it once if it fails."""
         sent_ms = self.clock.now()
-        second = int(sent_ms // MS_PER_SECOND)
+        second = int((sent_ms - self._began_ms) // MS_PER_SECOND)
         self.tally.sent[second] += 1
         deadline_ms = sent_ms + operation.limit_ms
         for _ in range(2):
--- a/tests/simulation/followers.py
+++ b/tests/simulation/followers.py
@@ -12,6 +12,7 @@
 
 from savorystand.clock import MS_PER_SECOND
 from savorystand.kernel.kernel import Kernel
+from savorystand.lab.fuzz.virtual_time import LoopClock
 from savorystand.membership.confirmation import StoreConfirmation
 from savorystand.membership.member import Member
 from savorystand.membership.member import MemberState
@@ -23,7 +24,6 @@
 from savorystand.tables.feed_reader import FeedPosition
 from savorystand.tables.feed_reader import FeedReader
 from savorystand.transport.address import PeerAddress
-from tests.simulation.virtual_time import LoopClock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/tables/test_reader_failures.py
+++ b/tests/tables/test_reader_failures.py
@@ -14,7 +14,7 @@
 
 from tests.simulation.followers import APPLY_MS
 from tests.simulation.followers import FollowerEstate
-from tests.simulation.virtual_time import run_in_virtual_time
+from tests.simulation.running import run_in_virtual_time
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
