--- a/review/memory.py
+++ b/review/memory.py
@@ -1,4 +1,4 @@
-"""What the scripts on memory share: clients, the platform's limit, the rule."""
+"""For scripts on memory: clients, the platform's limit and the rule."""
 
 import asyncio
 import signal
