--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,10 +1,13 @@
 """DRAIN: a node is killed right after it has acknowledged a goodbye."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
+# TROUBLE=0 leaves the disruption out.
+TROUBLE = os.environ.get('TROUBLE') != '0'
 sys.path.insert(0, str(FOLDER.parent))
 
 from lab import main, now  # noqa: E402
@@ -33,4 +36,4 @@
     return scene.judge(acked_at)
 
 
-main(case, FOLDER)
+main(case, FOLDER, trouble=TROUBLE)
--- a/review/lab.py
+++ b/review/lab.py
@@ -649,9 +649,8 @@
     raise CannotRun('no free ports')
 
 
-def main(case, folder: Path) -> None:
+def main(case, folder: Path, *, trouble: bool) -> None:
     """Run a case; exit with 1 if it broke the rule, 0 if not, 2 if it failed."""
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     if not (ROOT / 'target' / 'deps' / 'savorystand').is_dir():
         sys.stderr.write('run deploy/build.sh first\n')
         sys.exit(2)
