Keep departures of targets that the process has not heard of

Cause: a departure was kept relative to the last announcement. A process that has heard none, or one of another instance, kept nothing, but acknowledged all the same. What is known of departures stood in three places, by instance in one and by incarnation in the others.

Change: `Departures` alone says whether an incarnation may get work, and why not. A departure names the incarnation, or all that have started up to now if that is unknown. The log says which announcements were ignored, and for what reason.

--- /dev/null
+++ b/src/savorystand/departure.py
@@ -0,0 +1,53 @@
+"""Departures of targets, which survive the process that learned of them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+from typing import final
+
+if TYPE_CHECKING:
+    from savorystand.target_notice import Incarnation
+
+
+@final
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Departure:
+    """Incarnations of an instance that accept no more work.
+
+    ``started_ms`` is the wall time in milliseconds at which the departed
+    incarnation started. With ``earlier`` that time is not known: all
+    incarnations that started up to ``started_ms`` have left.
+    """
+
+    instance: str
+    started_ms: int
+    earlier: bool = False
+
+    def covers(self, incarnation: Incarnation) -> bool:
+        """Return True if an incarnation has left by this departure."""
+        if incarnation.instance != self.instance:
+            return False
+        if self.earlier:
+            return incarnation.started_ms <= self.started_ms
+        return incarnation.started_ms == self.started_ms
+
+
+@final
+class DepartureSource(Enum):
+    """How a node learned of a departure; the values appear in the log."""
+
+    # An announcement of the target itself.
+    ANNOUNCED = 'announcement'
+    DEREGISTERED = 'deregistration'
+    RESPONSE = 'response'
+    # A later incarnation has taken the place of the target.
+    REPLACED = 'replacement'
+    # A caller that remembers what an earlier process of this node reported.
+    CALLER = 'caller'
+
+    @property
+    def precedes_start(self) -> bool:
+        """Return True if an earlier process of this node learned of it."""
+        return self is DepartureSource.CALLER
--- a/src/savorystand/dispatch/local_pool.py
+++ b/src/savorystand/dispatch/local_pool.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING
 
 from savorystand.admission.queue import AdmissionQueue
 from savorystand.admission.rate_limit import RateLimit
+from savorystand.dispatch.departures import Departures
 from savorystand.membership.directory import MemberDirectory
 from savorystand.tables.holder import TablesHolder
 from savorystand.target_notice import Incarnation
 
 if TYPE_CHECKING:
+    from savorystand.departure import Departure
+    from savorystand.departure import DepartureSource
     from savorystand.kernel.kernel import Kernel
     from savorystand.tables.tables import Tables
 
@@ -21,9 +23,6 @@
 # Time for peers to stop sending calls. New work is refused afterwards, so that
 # a lost leave message has no lasting effect.
 LEAVE_DELAY_MS = 3000
-# Incarnations that have said that they leave; a late announcement can only be
-# that of a recent one.
-_MAX_LEFT = 16
 _UNANNOUNCED = Incarnation(instance='', started_ms=0)
 
 
@@ -34,7 +33,6 @@
         '_failures',
         '_kernel',
         '_leave_delay_ms',
-        '_left',
         '_pool',
         '_retired',
         '_serving',
@@ -63,11 +61,12 @@
         self.incarnation = _UNANNOUNCED
         # Set from the time at which the announced incarnation leaves.
         self.leaving: Incarnation | None = None
-        self._left: deque[Incarnation] = deque(maxlen=_MAX_LEFT)
         # Peers may still route to an earlier process at this address, whose
         # target has left since.
         kernel.find('admission', AdmissionQueue).drain_after(0)
         kernel.find('tables', TablesHolder).add_observer(self._apply_tables)
+        departures = kernel.find('departures', Departures)
+        departures.add_observer(self._apply_departure)
 
     def serves(self, pool: str) -> bool:
         """Return True unless the target is known to serve another pool."""
@@ -82,9 +81,8 @@
     ) -> None:
         """Record that the target serves ``pool``.
 
-        It receives calls once the current tables have a row for the pool,
-        unless this incarnation has said that it leaves. ``slots``, unless 0,
-        overrides the number of slots in that row.
+        It receives calls once the current tables have a row for the pool.
+        ``slots``, unless 0, overrides the number of slots in that row.
         """
         known = (self._pool, self._slots, self.incarnation)
         if self._serving and known == (pool, slots, incarnation):
@@ -95,8 +93,6 @@
         elif incarnation != self.incarnation:
             rate_limit.doubt()
         self.incarnation = incarnation
-        if incarnation in self._left:
-            return
         self._pool = pool
         self._slots = slots
         self.leaving = None
@@ -119,24 +115,6 @@
         admission = self._kernel.find('admission', AdmissionQueue)
         admission.drain_after(delay_ms)
 
-    def mark_left(
-        self, incarnation: Incarnation, *, at_once: bool = False
-    ) -> bool:
-        """Record that an incarnation leaves, whatever it announces later.
-
-        With ``at_once`` the leave delay has passed already, before this node
-        started. Return False if it is already recorded.
-        """
-        if incarnation in self._left:
-            return False
-        self._left.append(incarnation)
-        if incarnation == self.incarnation:
-            self.leave()
-            if at_once:
-                admission = self._kernel.find('admission', AdmissionQueue)
-                admission.drain_after(0)
-        return True
-
     def record_unreachable(self) -> None:
         """Record a failed connection; leave the pool after several in a row."""
         self._failures += 1
@@ -147,6 +125,17 @@
         """Reset the count of failed connections."""
         self._failures = 0
 
+    def _apply_departure(
+        self, departure: Departure, source: DepartureSource
+    ) -> None:
+        if not departure.covers(self.incarnation):
+            return
+        self.leave()
+        if source.precedes_start:
+            # The leave delay has passed already.
+            admission = self._kernel.find('admission', AdmissionQueue)
+            admission.drain_after(0)
+
     def _stop_serving(self) -> None:
         if self._serving:
             self._kernel.find('membership', MemberDirectory).leave()
--- a/src/savorystand/dispatch/target_notices.py
+++ b/src/savorystand/dispatch/target_notices.py
@@ -7,13 +7,15 @@
 from savorystand.admission.rate_limit import RateLimit
 from savorystand.clock import MS_PER_SECOND
 from savorystand.clock import Clock
+from savorystand.departure import Departure
+from savorystand.departure import DepartureSource
+from savorystand.dispatch.departures import Departures
 from savorystand.dispatch.local_pool import LocalPool
 from savorystand.kernel.service import Service
-from savorystand.reporting.events import rate_limit_changed
-from savorystand.reporting.events import rate_limit_unreadable
-from savorystand.reporting.events import rate_limit_used
-from savorystand.reporting.events import target_left
 from savorystand.reporting.logs import EventLog
+from savorystand.reporting.target_events import rate_limit_changed
+from savorystand.reporting.target_events import rate_limit_unreadable
+from savorystand.reporting.target_events import rate_limit_used
 from savorystand.target_notice import RateUnreadable
 
 if TYPE_CHECKING:
@@ -32,11 +34,12 @@
     earlier one are ignored.
     """
 
-    __slots__ = ('_clock', '_local_pool', '_log', '_rate_limit')
+    __slots__ = ('_clock', '_departures', '_local_pool', '_log', '_rate_limit')
 
     def __init__(self, *, kernel: Kernel) -> None:
-        """Apply notices to the local pool and rate limit of ``kernel``."""
+        """Apply notices to the departures and rate limit of ``kernel``."""
         self._clock = kernel.find('clock', Clock)
+        self._departures = kernel.find('departures', Departures)
         self._local_pool = kernel.find('local pool', LocalPool)
         self._log = kernel.find('log', EventLog)
         self._rate_limit = kernel.find('rate limit', RateLimit)
@@ -60,23 +63,26 @@
             self._log.write(rate_limit_unreadable(incarnation.instance))
         if self._rate_limit.apply(notice.rate, sent_ms=notice.sent_ms):
             self._log_limit('response')
-        if notice.leaving and self._local_pool.mark_left(incarnation):
-            self._log_left(incarnation, 'response')
+        if notice.leaving:
+            self._record_departure(incarnation, DepartureSource.RESPONSE)
 
     def assume(self, hint: TargetHint) -> None:
         """Apply what a caller remembers from before this node started."""
         per_second = hint.rate_limit
         if per_second is not None and self._rate_limit.assume(per_second):
             self._log_limit('caller')
-        if hint.left is not None and self._local_pool.mark_left(
-            hint.left, at_once=True
-        ):
-            self._log_left(hint.left, 'caller')
+        if hint.left is not None:
+            self._record_departure(hint.left, DepartureSource.CALLER)
 
     def _log_limit(self, source: str) -> None:
         instance = self._local_pool.incarnation.instance
         per_second = self._rate_limit.current()
         self._log.write(rate_limit_changed(instance, per_second, source))
 
-    def _log_left(self, incarnation: Incarnation, source: str) -> None:
-        self._log.write(target_left(incarnation, source))
+    def _record_departure(
+        self, incarnation: Incarnation, source: DepartureSource
+    ) -> None:
+        departure = Departure(
+            instance=incarnation.instance, started_ms=incarnation.started_ms
+        )
+        self._departures.record(departure, source)
--- a/src/savorystand/node/builder.py
+++ b/src/savorystand/node/builder.py
@@ -9,6 +9,7 @@
 from savorystand.deduplication.key_registry import KeyRegistry
 from savorystand.deduplication.runner import KeyedRunner
 from savorystand.dispatch.attempts import AttemptRunner
+from savorystand.dispatch.departures import Departures
 from savorystand.dispatch.inbound import Inbound
 from savorystand.dispatch.local_pool import LocalPool
 from savorystand.dispatch.target_notices import TargetNotices
@@ -28,6 +29,7 @@
 from savorystand.node.platform import platform_factories
 from savorystand.node.shutdown import NodeShutdown
 from savorystand.reporting.endpoints import ReportEndpoints
+from savorystand.reporting.logs import EventLog
 from savorystand.reporting.setup import reporting_factories
 from savorystand.reporting.traffic import Traffic
 
@@ -93,6 +95,9 @@
             run_call=kernel.find('attempts', AttemptRunner).run,
             registry=KeyRegistry(),
         ),
+        'departures': lambda kernel: Departures(
+            log=kernel.find('log', EventLog)
+        ),
         'local pool': lambda kernel: LocalPool(kernel=kernel),
         'notices': lambda kernel: TargetNotices(kernel=kernel),
         'inbound': lambda kernel: Inbound(kernel=kernel),
--- a/src/savorystand/node/sidecar.py
+++ b/src/savorystand/node/sidecar.py
@@ -8,6 +8,7 @@
 from savorystand.admission.queue import AdmissionQueue
 from savorystand.clock import Clock
 from savorystand.dispatch.announcements import Announcements
+from savorystand.dispatch.departures import Departures
 from savorystand.dispatch.inbound import Inbound
 from savorystand.dispatch.load_publisher import LoadPublisher
 from savorystand.dispatch.local_pool import LocalPool
@@ -91,6 +92,9 @@
         'retry': lambda kernel: RetryPolicy(
             limits=_budget_limits(cfg), passes_retries=False
         ),
+        'departures': lambda kernel: Departures(
+            log=kernel.find('log', EventLog)
+        ),
         'local pool': lambda kernel: LocalPool(
             kernel=kernel, leave_delay_ms=cfg.drain_ms * _LEAVE_FRACTION
         ),
--- a/src/savorystand/reporting/events.py
+++ b/src/savorystand/reporting/events.py
@@ -9,12 +9,10 @@
 from savorystand.reporting.logs import Level
 
 if TYPE_CHECKING:
-    from savorystand.admission.rate_limit import RateUsage
     from savorystand.membership.member import Member
     from savorystand.tables.document import TablesDocument
     from savorystand.tables.feed_reader import FeedPosition
     from savorystand.tables.tables import Tables
-    from savorystand.target_notice import Incarnation
     from savorystand.transport.address import PeerAddress
     from savorystand.verdict import NotRun
 
@@ -134,78 +132,6 @@
     )
 
 
-def target_changed(
-    instance: str, pool: str, state: str, sequence: int
-) -> Event:
-    """Return the event of an announcement that changed the local target."""
-    return Event(
-        name=EventName.TARGET_CHANGED,
-        pool=pool,
-        extra=(
-            ('instance', instance),
-            ('state', state),
-            ('sequence', str(sequence)),
-        ),
-    )
-
-
-def target_left(incarnation: Incarnation, source: str) -> Event:
-    """Return the event of a target that was found to leave.
-
-    ``source`` is 'response', or 'caller' if a caller has told this node.
-    """
-    return Event(
-        name=EventName.TARGET_CHANGED,
-        extra=(
-            ('instance', incarnation.instance),
-            ('started_ms', str(incarnation.started_ms)),
-            ('state', 'leaving'),
-            ('source', source),
-        ),
-    )
-
-
-def rate_limit_changed(
-    instance: str, per_second: float | None, source: str
-) -> Event:
-    """Return the event of a rate limit that was named, changed or ended.
-
-    ``source`` is 'response', or 'caller' if a caller has told this node.
-    """
-    limit = 'none' if per_second is None else format(per_second, 'g')
-    return Event(
-        name=EventName.RATE_LIMIT_CHANGED,
-        extra=(
-            ('instance', instance),
-            ('per_second', limit),
-            ('source', source),
-        ),
-    )
-
-
-def rate_limit_unreadable(instance: str) -> Event:
-    """Return the event of a rate limit that could not be decoded."""
-    return Event(
-        name=EventName.RATE_LIMIT_UNREADABLE,
-        level=Level.WARNING,
-        detail='the limit in force is kept',
-        extra=(('instance', instance),),
-    )
-
-
-def rate_limit_used(per_second: float, usage: RateUsage) -> Event:
-    """Return the event of the calls of one second under a rate limit."""
-    return Event(
-        name=EventName.RATE_LIMIT_USED,
-        extra=(
-            ('per_second', format(per_second, 'g')),
-            ('started', str(usage.started)),
-            ('repeated', str(usage.repeated)),
-            ('refused', str(usage.refused)),
-        ),
-    )
-
-
 def settings_reloaded(detail: str) -> Event:
     """Return the event of a signal to reload the settings."""
     return Event(name=EventName.SETTINGS_RELOADED, detail=detail)
--- a/src/savorystand/reporting/logs.py
+++ b/src/savorystand/reporting/logs.py
@@ -52,6 +52,7 @@
     RATE_LIMIT_UNREADABLE = 'rate-limit-unreadable'
     RATE_LIMIT_USED = 'rate-limit-used'
     ANNOUNCEMENT_REFUSED = 'announcement-refused'
+    ANNOUNCEMENT_IGNORED = 'announcement-ignored'
     SETTINGS_RELOADED = 'settings-reloaded'
     TRAFFIC_COUNTED = 'traffic-counted'
     STORE_CALLS_COUNTED = 'store-calls-counted'
--- a/tests/dispatch/test_attempts.py
+++ b/tests/dispatch/test_attempts.py
@@ -24,7 +24,6 @@
 from savorystand.clock import ManualClock
 from savorystand.dispatch.attempts import AttemptRunner
 from savorystand.dispatch.inbound import Inbound
-from savorystand.dispatch.local_pool import LocalPool
 from savorystand.gateway.contexts import ContextFactory
 from savorystand.gateway.contexts import Request
 from savorystand.kernel.kernel import Kernel
@@ -42,6 +41,7 @@
 from tests.policy_doubles import let_tasks_run
 from tests.policy_doubles import make_call
 from tests.policy_doubles import make_member
+from tests.policy_doubles import register_local_pool
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -75,7 +75,7 @@
         self.kernel.register('tables', TablesHolder())
         self.kernel.register('admission', BaselineAdmission(clock=self.clock))
         self.kernel.register('rate limit', RateLimit(clock=self.clock))
-        self.kernel.register('local pool', LocalPool(kernel=self.kernel))
+        register_local_pool(self.kernel)
         self.kernel.register(
             'retry', RetryPolicy(passes_retries=passes_retries)
         )
@@ -339,7 +339,7 @@
     clock = kernel.find('clock', ManualClock)
     kernel.register('downstream overload', DownstreamOverload(clock=clock))
     kernel.register('rate limit', RateLimit(clock=clock))
-    kernel.register('local pool', LocalPool(kernel=kernel))
+    register_local_pool(kernel)
     outcome = await Inbound(kernel=kernel).serve(make_call())
     assert outcome.error.reason is Reason.DRAINING
 
--- a/tests/dispatch/test_inbound.py
+++ b/tests/dispatch/test_inbound.py
@@ -22,6 +22,7 @@
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 from tests.policy_doubles import make_call
+from tests.policy_doubles import register_local_pool
 
 
 def _kernel() -> Kernel:
@@ -32,7 +33,7 @@
     kernel.register('executions', ExecutionRegistry())
     kernel.register('admission', AdmissionQueue(clock=clock))
     kernel.register('rate limit', RateLimit(clock=clock))
-    kernel.register('local pool', LocalPool(kernel=kernel))
+    register_local_pool(kernel)
     kernel.register('downstream overload', DownstreamOverload(clock=clock))
     return kernel
 
--- a/tests/node/test_sidecar_shutdown.py
+++ b/tests/node/test_sidecar_shutdown.py
@@ -13,7 +13,6 @@
 from savorystand.admission.queue import Permit
 from savorystand.admission.rate_limit import RateLimit
 from savorystand.clock import ManualClock
-from savorystand.dispatch.local_pool import LocalPool
 from savorystand.gateway.server import HttpListener
 from savorystand.kernel.kernel import Kernel
 from savorystand.membership.directory import MemberDirectory
@@ -27,6 +26,7 @@
 from tests.policy_doubles import FakeDirectory
 from tests.policy_doubles import let_tasks_run
 from tests.policy_doubles import make_call
+from tests.policy_doubles import register_local_pool
 
 pytestmark = pytest.mark.anyio
 _GRACE_MS = 6000
@@ -68,10 +68,9 @@
         self.kernel.register('admission', self.admission)
         self.kernel.register('membership', self.directory)
         self.kernel.register('rate limit', RateLimit(clock=self.clock))
-        self.local_pool = LocalPool(kernel=self.kernel)
-        self.kernel.register('local pool', self.local_pool)
         log = EventLog(clock=self.clock, node_id='node')
         self.kernel.register('log', log)
+        self.local_pool = register_local_pool(self.kernel)
         self.kernel.register('caller listener', self.listener)
         self.shutdown = SidecarShutdown(kernel=self.kernel, grace_ms=_GRACE_MS)
 
--- a/tests/policy_doubles.py
+++ b/tests/policy_doubles.py
@@ -2,16 +2,25 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from anyio.lowlevel import checkpoint
 
 from savorystand.call import Call
 from savorystand.call import CallContext
 from savorystand.call import Importance
+from savorystand.clock import Clock
+from savorystand.dispatch.departures import Departures
+from savorystand.dispatch.local_pool import LocalPool
 from savorystand.membership.member import Member
 from savorystand.membership.member import MemberState
+from savorystand.reporting.logs import EventLog
 from savorystand.tables.route import Route
 from savorystand.transport.address import PeerAddress
 
+if TYPE_CHECKING:
+    from savorystand.kernel.kernel import Kernel
+
 # Above the longest chain of tasks that wake each other in the tests, which takes
 # 4 checkpoints.
 _CHECKPOINTS = 12
@@ -57,6 +66,15 @@
     )
 
 
+def register_local_pool(kernel: Kernel) -> LocalPool:
+    """Register the departures and the pool of the target of ``kernel``."""
+    log = EventLog(clock=kernel.find('clock', Clock), node_id='node')
+    kernel.register('departures', Departures(log=log))
+    local_pool = LocalPool(kernel=kernel)
+    kernel.register('local pool', local_pool)
+    return local_pool
+
+
 def make_member(
     node_id: str, *, domain: str = 'd', region: str = 'r'
 ) -> Member:
--- a/tests/simulation/estate.py
+++ b/tests/simulation/estate.py
@@ -27,7 +27,6 @@
 from savorystand.dispatch.attempts import AttemptRunner
 from savorystand.dispatch.dispatcher import Dispatcher
 from savorystand.dispatch.inbound import Inbound
-from savorystand.dispatch.local_pool import LocalPool
 from savorystand.kernel.kernel import Kernel
 from savorystand.lab.fuzz.virtual_time import LoopClock
 from savorystand.membership.member import Member
@@ -45,6 +44,7 @@
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
+from tests.policy_doubles import register_local_pool
 
 if TYPE_CHECKING:
     from savorystand.call import Outcome
@@ -149,8 +149,7 @@
         kernel.register('tables', TablesHolder())
         kernel.register('admission', AdmissionQueue(clock=clock))
         kernel.register('rate limit', RateLimit(clock=clock))
-        local_pool = LocalPool(kernel=kernel)
-        kernel.register('local pool', local_pool)
+        local_pool = register_local_pool(kernel)
         limits = BudgetLimits(
             retry_fraction=0.12, hedge_fraction=0, max_tokens=9
         )
