Acknowledge a departure once the node's row in the store holds it

Cause: an acknowledgement of a departure was kept in the memory of one process. Peers remember departures only from load reports, which go out up to 200 ms later.

Change: each node has a row in the register already and reads it when it starts. The row now holds the latest departures at its address, written under the condition that it has not changed since it was read, so that a late write cannot take a departure out. The acknowledgement waits for the write, at most 800 ms; without it the response is 503 and the worker repeats its call, while the node drains the target at once as before. A node gives its target no work before it has read the row, at most 1 s. A start costs no further call of the store, a departure one write, and a read if it is not the first.

--- /dev/null
+++ b/src/savorystand/departures/__init__.py
@@ -0,0 +1,1 @@
+"""Departures of targets: memory, encoding and where they are kept."""
--- a/src/savorystand/departure.py
+++ b/src/savorystand/departures/departure.py
@@ -46,8 +46,19 @@
     REPLACED = 'replacement'
     # A caller that remembers what an earlier process of this node reported.
     CALLER = 'caller'
+    # The row of this node, which an earlier process has written.
+    STORE = 'store'
 
     @property
     def precedes_start(self) -> bool:
         """Return True if an earlier process of this node learned of it."""
-        return self is DepartureSource.CALLER
+        return self in {DepartureSource.CALLER, DepartureSource.STORE}
+
+    @property
+    def is_promise(self) -> bool:
+        """Return True if the target relies on the node to remember it."""
+        return self in {
+            DepartureSource.ANNOUNCED,
+            DepartureSource.DEREGISTERED,
+            DepartureSource.RESPONSE,
+        }
--- a/src/savorystand/dispatch/local_pool.py
+++ b/src/savorystand/dispatch/local_pool.py
@@ -6,14 +6,14 @@
 
 from savorystand.admission.queue import AdmissionQueue
 from savorystand.admission.rate_limit import RateLimit
-from savorystand.dispatch.departures import Departures
+from savorystand.departures.departures import Departures
 from savorystand.membership.directory import MemberDirectory
 from savorystand.tables.holder import TablesHolder
 from savorystand.target_notice import Incarnation
 
 if TYPE_CHECKING:
-    from savorystand.departure import Departure
-    from savorystand.departure import DepartureSource
+    from savorystand.departures.departure import Departure
+    from savorystand.departures.departure import DepartureSource
     from savorystand.kernel.kernel import Kernel
     from savorystand.tables.tables import Tables
 
@@ -30,6 +30,7 @@
     """Opens and closes admission as the local target joins or leaves."""
 
     __slots__ = (
+        '_departures',
         '_failures',
         '_kernel',
         '_leave_delay_ms',
@@ -65,8 +66,9 @@
         # target has left since.
         kernel.find('admission', AdmissionQueue).drain_after(0)
         kernel.find('tables', TablesHolder).add_observer(self._apply_tables)
-        departures = kernel.find('departures', Departures)
-        departures.add_observer(self._apply_departure)
+        self._departures = kernel.find('departures', Departures)
+        self._departures.add_observer(self._apply_departure)
+        self._departures.add_known_observer(self._apply_current_tables)
 
     def serves(self, pool: str) -> bool:
         """Return True unless the target is known to serve another pool."""
@@ -97,7 +99,7 @@
         self._slots = slots
         self.leaving = None
         self._serving = False
-        self._apply_tables(self._kernel.find('tables', TablesHolder).current())
+        self._apply_current_tables()
 
     def leave(self) -> None:
         """Leave the pool and refuse new work after the leave delay."""
@@ -144,10 +146,16 @@
         self._serving = False
         self._pool = ''
 
+    def _apply_current_tables(self) -> None:
+        self._apply_tables(self._kernel.find('tables', TablesHolder).current())
+
     def _apply_tables(self, tables: Tables) -> None:
         row = tables.pool(self._pool)
         if row is None or self._retired:
             return
+        if not self._departures.earlier_known():
+            # The target may have left before this process started.
+            return
         admission = self._kernel.find('admission', AdmissionQueue)
         admission.set_slots(self._slots or row.slots)
         if not self._serving:
--- a/src/savorystand/dispatch/target_notices.py
+++ b/src/savorystand/dispatch/target_notices.py
@@ -7,9 +7,9 @@
 from savorystand.admission.rate_limit import RateLimit
 from savorystand.clock import MS_PER_SECOND
 from savorystand.clock import Clock
-from savorystand.departure import Departure
-from savorystand.departure import DepartureSource
-from savorystand.dispatch.departures import Departures
+from savorystand.departures.departure import Departure
+from savorystand.departures.departure import DepartureSource
+from savorystand.departures.departures import Departures
 from savorystand.dispatch.local_pool import LocalPool
 from savorystand.kernel.service import Service
 from savorystand.reporting.logs import EventLog
--- a/src/savorystand/membership/conversion.py
+++ b/src/savorystand/membership/conversion.py
@@ -148,3 +148,11 @@
     """
     if not 0 < len(node_id.encode()) <= MAX_NAME_BYTES:
         raise FrameError(f'node id is empty or exceeds {MAX_NAME_BYTES} bytes')
+
+
+def is_pool_name(name: object) -> bool:
+    """Return True if records can carry ``name`` as the name of a pool."""
+    # Surrogates, which cannot be encoded, are not printable.
+    if not isinstance(name, str) or not name.isprintable():
+        return False
+    return 0 < len(name.encode()) <= MAX_NAME_BYTES
--- a/src/savorystand/membership/discovery.py
+++ b/src/savorystand/membership/discovery.py
@@ -4,9 +4,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Sequence
 from typing import TYPE_CHECKING
-from typing import Protocol
 from typing import TypeAlias
 
 import anyio
@@ -16,6 +14,7 @@
 from savorystand.kernel.service import Service
 from savorystand.membership.directory import MemberDirectory
 from savorystand.membership.member import MemberState
+from savorystand.membership.registration import Registration
 from savorystand.reporting.events import dependency_changed
 from savorystand.reporting.logs import EventLog
 from savorystand.store.errors import StoreError
@@ -28,6 +27,7 @@
 
     from savorystand.kernel.kernel import Kernel
     from savorystand.membership.member import Member
+    from savorystand.membership.registration import NodeRegistry
     from savorystand.settings.node import Address
     from savorystand.store.generation import StoreGeneration
 
@@ -57,35 +57,6 @@
 _MAX_RETRY_DELAY_MS = 1000
 
 
-class NodeRegistry(Protocol):
-    """Addresses of nodes in the store.
-
-    An address is kept after its node has stopped; a later node at the same
-    address replaces it.
-    """
-
-    async def add(self, address: Address) -> None:
-        """Add an address; adding it again changes nothing.
-
-        Raises:
-            StoreError: the address may not have been added.
-        """
-
-    async def contains(self, address: Address) -> bool:
-        """Return True if an address has been added and is not lost.
-
-        Raises:
-            StoreError: the addresses could not be read.
-        """
-
-    async def addresses(self) -> Sequence[Address]:
-        """Return all addresses, including those of stopped nodes.
-
-        Raises:
-            StoreError: the addresses could not be read.
-        """
-
-
 class NodeDiscovery(Service):
     """Registers this node and contacts the registered nodes.
 
@@ -106,9 +77,10 @@
         '_log',
         '_local_address',
         '_members',
-        '_rng',
+        '_registration',
         '_registry',
         '_restored',
+        '_rng',
     )
 
     def __init__(
@@ -121,7 +93,7 @@
         contact: Contact,
         rng: random.Random,
     ) -> None:
-        """Register ``local_address``; pass other addresses to ``contact``.
+        """Register this node; pass other addresses to ``contact``.
 
         ``generation`` is that of the store of ``registry``.
         """
@@ -130,6 +102,7 @@
         self._restored = anyio.Event()
         generation.add_observer(lambda: self._restored.set())
         self._log = kernel.find('log', EventLog)
+        self._registration = kernel.find('registration', Registration)
         self._registry = registry
         self._local_address = local_address
         self._contact = contact
@@ -191,27 +164,26 @@
     async def _join(self) -> str:
         if not self._knows_older_peer():
             return await self._contact_and_register()
-        if not await self._registry.contains(self._local_address):
-            await self._registry.add(self._local_address)
+        if not await self._registration.refresh():
+            await self._registration.register()
         return 'members from peers'
 
     async def _check(self) -> str:
-        if await self._registry.contains(self._local_address):
+        if await self._registration.refresh():
             return ''
         return await self._contact_and_register()
 
     async def _contact_and_register(self) -> str:
-        addresses = list(await self._registry.addresses())
+        rows = await self._registry.nodes()
         others = [
-            (address.host, address.port)
-            for address in addresses
-            if address != self._local_address
+            (row.address.host, row.address.port)
+            for row in rows
+            if row.address != self._local_address
         ]
         self._rng.shuffle(others)
         for host, port in others[:_MAX_CONTACTS]:
             self._contact(host, port)
-        if self._local_address not in addresses:
-            await self._registry.add(self._local_address)
+        await self._registration.register_beside(rows)
         return f'{len(others)} addresses'
 
     def _is_alone(self) -> bool:
--- a/src/savorystand/node/builder.py
+++ b/src/savorystand/node/builder.py
@@ -8,8 +8,8 @@
 from savorystand.clock import Clock
 from savorystand.deduplication.key_registry import KeyRegistry
 from savorystand.deduplication.runner import KeyedRunner
+from savorystand.departures.departures import Departures
 from savorystand.dispatch.attempts import AttemptRunner
-from savorystand.dispatch.departures import Departures
 from savorystand.dispatch.inbound import Inbound
 from savorystand.dispatch.local_pool import LocalPool
 from savorystand.dispatch.target_notices import TargetNotices
@@ -96,7 +96,8 @@
             registry=KeyRegistry(),
         ),
         'departures': lambda kernel: Departures(
-            log=kernel.find('log', EventLog)
+            clock=kernel.find('clock', Clock),
+            log=kernel.find('log', EventLog),
         ),
         'local pool': lambda kernel: LocalPool(kernel=kernel),
         'notices': lambda kernel: TargetNotices(kernel=kernel),
--- a/src/savorystand/node/sidecar.py
+++ b/src/savorystand/node/sidecar.py
@@ -7,8 +7,8 @@
 
 from savorystand.admission.queue import AdmissionQueue
 from savorystand.clock import Clock
+from savorystand.departures.departures import Departures
 from savorystand.dispatch.announcements import Announcements
-from savorystand.dispatch.departures import Departures
 from savorystand.dispatch.inbound import Inbound
 from savorystand.dispatch.load_publisher import LoadPublisher
 from savorystand.dispatch.local_pool import LocalPool
@@ -21,6 +21,7 @@
 from savorystand.membership.confirmation import StoreConfirmation
 from savorystand.membership.discovery import NodeDiscovery
 from savorystand.membership.membership import Membership
+from savorystand.membership.registration import Registration
 from savorystand.node.factories import dispatch_factories
 from savorystand.node.factories import policy_factories
 from savorystand.node.factories import state_factories
@@ -85,6 +86,10 @@
             clock=kernel.find('clock', Clock),
             node_id=node_id,
         ),
+        'departures': lambda kernel: Departures(
+            clock=kernel.find('clock', Clock),
+            log=kernel.find('log', EventLog),
+        ),
         'observer': lambda kernel: CallLog(kernel=kernel),
         'traffic log': lambda kernel: TrafficLog(kernel=kernel),
         **_store_factories(cfg, traffic),
@@ -92,9 +97,6 @@
         'retry': lambda kernel: RetryPolicy(
             limits=_budget_limits(cfg), passes_retries=False
         ),
-        'departures': lambda kernel: Departures(
-            log=kernel.find('log', EventLog)
-        ),
         'local pool': lambda kernel: LocalPool(
             kernel=kernel, leave_delay_ms=cfg.drain_ms * _LEAVE_FRACTION
         ),
@@ -140,6 +142,7 @@
         ),
         generation=generation,
     )
+    registry = StoredNodeRegistry(rows=rows)
     return {
         'store generation': lambda kernel: _share_generation(
             kernel, generation
@@ -151,9 +154,15 @@
             feed=StoredConfiguration(rows=feed),
             apply_ms=cfg.apply_ms,
         ),
+        'registration': lambda kernel: Registration(
+            kernel=kernel,
+            registry=registry,
+            address=cfg.node.peers,
+            rng=random.Random(),
+        ),
         'discovery': lambda kernel: NodeDiscovery(
             kernel=kernel,
-            registry=StoredNodeRegistry(rows=rows),
+            registry=registry,
             generation=generation,
             local_address=cfg.node.peers,
             contact=kernel.find('membership', Membership).contact,
--- a/src/savorystand/platform/control.py
+++ b/src/savorystand/platform/control.py
@@ -15,9 +15,8 @@
 import re
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import Protocol
-from typing import runtime_checkable
 
+from savorystand.departures.departures import Departures
 from savorystand.dispatch.announcements import Announcement
 from savorystand.dispatch.announcements import Announcements
 from savorystand.gateway.asgi import HttpResponse
@@ -29,12 +28,11 @@
 from savorystand.gateway.asgi import json_response
 from savorystand.gateway.asgi import request_body
 from savorystand.gateway.asgi import send_response
-from savorystand.membership.conversion import MAX_NAME_BYTES
+from savorystand.gateway.readiness import Readiness
 from savorystand.membership.conversion import MAX_NUMBER
-from savorystand.reporting.logs import Event
+from savorystand.membership.conversion import is_pool_name
 from savorystand.reporting.logs import EventLog
-from savorystand.reporting.logs import EventName
-from savorystand.reporting.logs import Level
+from savorystand.reporting.target_events import announcement_refused
 
 if TYPE_CHECKING:
     from savorystand.kernel.kernel import Kernel
@@ -48,7 +46,8 @@
 _UNAVAILABLE = 503
 _DRAINING = 'draining'
 _STATES = frozenset(('ready', _DRAINING))
-_MAX_LOGGED_LENGTH = 200
+# A worker waits a second for an acknowledgement.
+_MAX_SAVE_MS = 800
 # More than one node can serve at once.
 _MAX_SLOTS = 1000000
 # A worker id is sent in headers and frames.
@@ -63,14 +62,6 @@
 )
 
 
-@runtime_checkable
-class Readiness(Protocol):
-    """Reports whether this node accepts requests from callers."""
-
-    def ready(self) -> bool:
-        """Return True while the node accepts requests from callers."""
-
-
 class ControlEndpoints:
     """Serves readiness checks and announcements of the local worker."""
 
@@ -94,9 +85,8 @@
             # The client has disconnected, or ``uvicorn`` responds with status
             # 500 because no response was started.
             return
-        await send_response(
-            send, self._serve(scope['method'], scope['path'], body)
-        )
+        method, path = scope['method'], scope['path']
+        await send_response(send, await self._serve(method, path, body))
 
     def close_connections(self) -> None:
         """Do nothing: the platform sends requests until the process ends.
@@ -105,41 +95,46 @@
         that stops keeps the listener of these endpoints open.
         """
 
-    def _serve(self, method: str, path: str, body: bytes) -> HttpResponse:
+    async def _serve(self, method: str, path: str, body: bytes) -> HttpResponse:
         if method == 'GET' and path == _READINESS_PATH:
             ready = self._kernel.find('readiness', Readiness).ready()
             return HttpResponse(status=_OK if ready else _UNAVAILABLE)
         if method == 'POST' and path.startswith(_HEARTBEAT_PREFIX):
-            return self._serve_heartbeat(
+            return await self._serve_heartbeat(
                 path.removeprefix(_HEARTBEAT_PREFIX), body
             )
         if method == 'POST' and path.startswith(_DEREGISTER_PREFIX):
-            return self._serve_deregistration(
+            return await self._serve_deregistration(
                 path.removeprefix(_DEREGISTER_PREFIX)
             )
         return HttpResponse(status=_NOT_FOUND)
 
-    def _serve_deregistration(self, worker_id: str) -> HttpResponse:
+    async def _serve_deregistration(self, worker_id: str) -> HttpResponse:
         if _WORKER_ID.fullmatch(worker_id) is None:
             return HttpResponse(status=_BAD_REQUEST)
         announcements = self._kernel.find('announcements', Announcements)
         announcements.deregister(worker_id)
-        return json_response({})
+        return await self._acknowledge_departure()
 
-    def _serve_heartbeat(self, worker_id: str, body: bytes) -> HttpResponse:
+    async def _serve_heartbeat(
+        self, worker_id: str, body: bytes
+    ) -> HttpResponse:
         announcement = self._decode_heartbeat(worker_id, body)
         if announcement is None:
-            self._log.write(
-                Event(
-                    name=EventName.ANNOUNCEMENT_REFUSED,
-                    level=Level.WARNING,
-                    detail=worker_id[:_MAX_LOGGED_LENGTH],
-                )
-            )
+            self._log.write(announcement_refused(worker_id))
             return HttpResponse(status=_BAD_REQUEST)
         self._kernel.find('announcements', Announcements).accept(announcement)
+        if announcement.leaving:
+            return await self._acknowledge_departure()
         return json_response({})
 
+    async def _acknowledge_departure(self) -> HttpResponse:
+        departures = self._kernel.find('departures', Departures)
+        if await departures.wait_saved(_MAX_SAVE_MS):
+            return json_response({})
+        # The worker repeats its call.
+        return HttpResponse(status=_UNAVAILABLE)
+
     def _decode_heartbeat(
         self, worker_id: str, body: bytes
     ) -> Announcement | None:
@@ -174,7 +169,7 @@
         numbers = (slots, sequence, started_ms)
         if not all(map(_is_integer, numbers)):
             return None
-        if state not in _STATES or not _is_pool_name(service):
+        if state not in _STATES or not is_pool_name(service):
             return None
         if (
             fields['address'] != self._worker_address
@@ -196,11 +191,3 @@
 def _is_integer(number: object) -> bool:
     # Excludes true and false: ``bool`` is a subclass of ``int``.
     return isinstance(number, int) and not isinstance(number, bool)
-
-
-def _is_pool_name(name: object) -> bool:
-    # Membership spreads the name. Surrogates, which it cannot encode, are not
-    # printable.
-    if not isinstance(name, str) or not name.isprintable():
-        return False
-    return 0 < len(name.encode()) <= MAX_NAME_BYTES
--- a/src/savorystand/platform/node_registry.py
+++ b/src/savorystand/platform/node_registry.py
@@ -5,6 +5,7 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+from savorystand.membership.registration import RegisteredNode
 from savorystand.settings.addresses import AddressError
 from savorystand.settings.addresses import parse_address
 from savorystand.store.rows import RowKey
@@ -28,45 +29,54 @@
         """Read and write the rows with the client ``rows``."""
         self._rows = rows
 
-    async def add(self, address: Address) -> None:
-        """Add an address; adding it again has no further effect.
+    async def write(
+        self, address: Address, payload: bytes, *, expected_version: int
+    ) -> None:
+        """Write the row of an address if it still has a version, 0 for none.
 
         Raises:
-            StoreError: the address may not have been added.
+            RowsChangedError: it has another version.
+            StoreError: the row may not have been written.
         """
         row = RowKey(table=_TABLE, key=address.text())
-        await self._rows.write([(row, b'')])
+        await self._rows.write(
+            [(row, payload)], expected=[(row, expected_version)]
+        )
 
-    async def contains(self, address: Address) -> bool:
-        """Return True if an address has been added.
+    async def read(self, address: Address) -> RegisteredNode | None:
+        """Return the row of an address, None if there is none.
 
         Raises:
             StoreError: the store did not respond or refused the request.
         """
-        key = address.text()
-        page = await self._rows.read(_TABLE, start=key, limit=1)
-        return any(row.row_key.key == key for row in page.rows)
+        page = await self._rows.read(_TABLE, start=address.text(), limit=1)
+        nodes = _decode_nodes(page)
+        return next((node for node in nodes if node.address == address), None)
 
-    async def addresses(self) -> list[Address]:
-        """Return all addresses, including those of nodes that have stopped.
+    async def nodes(self) -> list[RegisteredNode]:
+        """Return all rows, including those of nodes that have stopped.
 
         Raises:
             StoreError: the store did not respond or refused the request.
         """
-        addresses: list[Address] = []
+        nodes: list[RegisteredNode] = []
         start = ''
         while True:
             page = await self._rows.read(_TABLE, start=start)
-            addresses.extend(_decode_addresses(page))
+            nodes.extend(_decode_nodes(page))
             if not page.has_more or not page.rows:
-                return addresses
+                return nodes
             # The smallest key after the last one starts the next page.
             last_key = page.rows[-1].row_key.key
             start = f'{last_key}!'
 
 
-def _decode_addresses(page: RowPage) -> Iterator[Address]:
+def _decode_nodes(page: RowPage) -> Iterator[RegisteredNode]:
     for row in page.rows:
         # Skips rows whose key is not an address; no node wrote them.
         with contextlib.suppress(AddressError):
-            yield parse_address(row.row_key.key)
+            yield RegisteredNode(
+                address=parse_address(row.row_key.key),
+                payload=row.payload or b'',
+                version=row.version,
+            )
--- a/src/savorystand/reporting/logs.py
+++ b/src/savorystand/reporting/logs.py
@@ -48,6 +48,8 @@
     TABLES_REJECTED = 'tables-rejected'
     DEPENDENCY_CHANGED = 'dependency-changed'
     TARGET_CHANGED = 'target-changed'
+    DEPARTURE_SAVED = 'departure-saved'
+    DEPARTURE_UNSAVED = 'departure-unsaved'
     RATE_LIMIT_CHANGED = 'rate-limit-changed'
     RATE_LIMIT_UNREADABLE = 'rate-limit-unreadable'
     RATE_LIMIT_USED = 'rate-limit-used'
--- a/src/savorystand/reporting/target_events.py
+++ b/src/savorystand/reporting/target_events.py
@@ -10,10 +10,13 @@
 
 if TYPE_CHECKING:
     from savorystand.admission.rate_limit import RateUsage
-    from savorystand.departure import Departure
-    from savorystand.departure import DepartureSource
+    from savorystand.departures.departure import Departure
+    from savorystand.departures.departure import DepartureSource
     from savorystand.target_notice import Incarnation
 
+# Texts of other writers may be long.
+_MAX_INSTANCE_CHARS = 200
+
 
 def target_changed(
     instance: str, pool: str, state: str, sequence: int
@@ -44,6 +47,43 @@
     )
 
 
+def departure_saved(departure: Departure, elapsed_ms: float) -> Event:
+    """Return the event of a departure that outlasts this process from now on.
+
+    ``elapsed_ms`` is the time since this node learned of it.
+    """
+    return Event(
+        name=EventName.DEPARTURE_SAVED,
+        extra=(
+            ('instance', departure.instance),
+            ('started_ms', str(departure.started_ms)),
+            ('elapsed_ms', str(int(elapsed_ms))),
+        ),
+    )
+
+
+def departure_unsaved(departure: Departure, waited_ms: float) -> Event:
+    """Return the event of a departure that could not be acknowledged."""
+    return Event(
+        name=EventName.DEPARTURE_UNSAVED,
+        level=Level.WARNING,
+        detail=f'not acknowledged, as it was not saved within {waited_ms} ms',
+        extra=(
+            ('instance', departure.instance),
+            ('started_ms', str(departure.started_ms)),
+        ),
+    )
+
+
+def announcement_refused(instance: str) -> Event:
+    """Return the event of an announcement that cannot be read."""
+    return Event(
+        name=EventName.ANNOUNCEMENT_REFUSED,
+        level=Level.WARNING,
+        detail=instance[:_MAX_INSTANCE_CHARS],
+    )
+
+
 def announcement_ignored(
     incarnation: Incarnation, sequence: int, reason: str
 ) -> Event:
--- a/tests/dispatch/test_announcements.py
+++ b/tests/dispatch/test_announcements.py
@@ -11,17 +11,17 @@
 import pytest
 
 from savorystand.clock import ManualClock
+from savorystand.departures.departures import Departures
 from savorystand.dispatch.announcements import Announcement
 from savorystand.dispatch.announcements import Announcements
-from savorystand.dispatch.departures import Departures
 from savorystand.kernel.kernel import Kernel
 from savorystand.reporting.logs import EventLog
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from savorystand.departure import Departure
-    from savorystand.departure import DepartureSource
+    from savorystand.departures.departure import Departure
+    from savorystand.departures.departure import DepartureSource
     from savorystand.target_notice import Incarnation
 
 _READY = Announcement(
@@ -70,7 +70,7 @@
         self.clock = clock or ManualClock(now=10000)
         self.pool = _Pool()
         log = EventLog(clock=self.clock, node_id='node')
-        self.departures = Departures(log=log)
+        self.departures = Departures(clock=self.clock, log=log)
         self.departures.add_observer(self.pool.apply_departure)
         kernel = Kernel()
         kernel.register('clock', self.clock)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -16,6 +16,7 @@
 from savorystand.call import Importance
 from savorystand.lab.platform.application import platform_app
 from savorystand.lab.platform.listener import PlatformListener
+from savorystand.membership.registration import RegisteredNode
 from savorystand.platform.configuration import StoredConfiguration
 from savorystand.platform.configuration import parse_configuration
 from savorystand.platform.node_registry import StoredNodeRegistry
@@ -218,11 +219,12 @@
         last = json.dumps({'rows': [], 'ver': 3, 'hasMore': has_more}).encode()
         client = RowClient(connections=_Connections(body))
         registry = StoredNodeRegistry(rows=client)
-        assert await registry.addresses() == [
-            Address(host='10.0.0.1', port=7620)
-        ]
+        node = RegisteredNode(
+            address=Address(host='10.0.0.1', port=7620), payload=b'', version=3
+        )
+        assert await registry.nodes() == [node]
         empty = RowClient(connections=_Connections(last))
-        assert await StoredNodeRegistry(rows=empty).addresses() == []
+        assert await StoredNodeRegistry(rows=empty).nodes() == []
 
 
 @pytest.mark.anyio
--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -10,9 +10,13 @@
 from types import MappingProxyType
 from typing import Any
 
+import anyio
 import pytest
 
 from savorystand.clock import ManualClock
+from savorystand.departures.departure import Departure
+from savorystand.departures.departure import DepartureSource
+from savorystand.departures.departures import Departures
 from savorystand.dispatch.announcements import Announcement
 from savorystand.dispatch.announcements import Announcements
 from savorystand.kernel.kernel import Kernel
@@ -61,7 +65,11 @@
         kernel = Kernel()
         self.announcements = _Announcements()
         self.readiness = _Readiness()
-        kernel.register('log', EventLog(clock=ManualClock(), node_id='node'))
+        self.clock = ManualClock()
+        log = EventLog(clock=self.clock, node_id='node')
+        self.departures = Departures(clock=self.clock, log=log)
+        kernel.register('log', log)
+        kernel.register('departures', self.departures)
         kernel.register('announcements', self.announcements)
         kernel.register('readiness', self.readiness)
         self.app = ControlEndpoints(kernel=kernel, worker_address='10.0.0.1:80')
@@ -157,3 +165,41 @@
     assert await node.request('GET', '/readyz') == 503
     node.readiness.state = True
     assert await node.request('GET', '/readyz') == 200
+
+
+# Guards against a departure that is lost with the process that acknowledged it.
+@pytest.mark.parametrize('path', ['Heartbeat', 'Deregister'])
+async def test_departure_is_acknowledged_once_it_is_saved(path: str) -> None:
+    """Without an acknowledgement the worker repeats its call."""
+    node = _Node()
+    departure = Departure(instance='i-1', started_ms=1)
+    node.departures.record(departure, DepartureSource.DEREGISTERED)
+    fields = {**_HEARTBEAT_FIELDS, 'state': 'draining'}
+    body = json.dumps(fields).encode()
+    statuses: list[int] = []
+
+    async def call() -> None:
+        target = f'/Instances.{path}/i-1'
+        statuses.append(await node.request('POST', target, body))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(call)
+        await anyio.wait_all_tasks_blocked()
+        assert statuses == []
+        node.clock.advance(800)
+        await anyio.wait_all_tasks_blocked()
+        assert statuses == [503]
+        tasks.start_soon(call)
+        await anyio.wait_all_tasks_blocked()
+        node.departures.mark_saved([departure])
+    assert statuses == [503, 200]
+
+
+# Guards against announcements that wait for a store that is away.
+async def test_announcement_of_a_ready_worker_is_not_delayed() -> None:
+    """It promises nothing that has to be saved."""
+    node = _Node()
+    departure = Departure(instance='i-0', started_ms=1)
+    node.departures.record(departure, DepartureSource.DEREGISTERED)
+    body = json.dumps(dict(_HEARTBEAT_FIELDS)).encode()
+    assert await node.request('POST', '/Instances.Heartbeat/i-1', body) == 200
--- a/tests/policy_doubles.py
+++ b/tests/policy_doubles.py
@@ -10,7 +10,7 @@
 from savorystand.call import CallContext
 from savorystand.call import Importance
 from savorystand.clock import Clock
-from savorystand.dispatch.departures import Departures
+from savorystand.departures.departures import Departures
 from savorystand.dispatch.local_pool import LocalPool
 from savorystand.membership.member import Member
 from savorystand.membership.member import MemberState
@@ -68,8 +68,9 @@
 
 def register_local_pool(kernel: Kernel) -> LocalPool:
     """Register the departures and the pool of the target of ``kernel``."""
-    log = EventLog(clock=kernel.find('clock', Clock), node_id='node')
-    kernel.register('departures', Departures(log=log))
+    clock = kernel.find('clock', Clock)
+    log = EventLog(clock=clock, node_id='node')
+    kernel.register('departures', Departures(clock=clock, log=log))
     local_pool = LocalPool(kernel=kernel)
     kernel.register('local pool', local_pool)
     return local_pool
