Free the bodies of an exchange with the target when it ends

An operator of a similar system reported: a faulty worker sends bytes that are no answer, without end; the machine that called it keeps them all and runs out of memory. But what an ended exchange had read stayed in memory until a cyclic collection: the parser refers to its reader and the reader to the parser, and the exception of a failed exchange refers to the frame that holds reader, request and the future with that exception.

Change: the reader lets go of its parser, headers and body when the exchange ends, and the frame of the future. A failed exchange reads no further byte.

--- a/src/savorystand/gateway/http_connection.py
+++ b/src/savorystand/gateway/http_connection.py
@@ -17,12 +17,13 @@
 from typing import TYPE_CHECKING
 from typing import cast
 
-from savorystand.call import Response
 from savorystand.gateway.errors import TargetProtocolError
 from savorystand.gateway.response_reader import ResponseReader
 
 if TYPE_CHECKING:
+    from savorystand.call import Response
     from savorystand.clock import Clock
+    from savorystand.clock import Timer
     from savorystand.gateway.response_memory import ResponseMemory
     from savorystand.gateway.response_reader import HeadObserver
     from savorystand.gateway.response_reader import ResponseMatcher
@@ -126,19 +127,18 @@
         )
         try:
             await done
+            response = reader.response()
         finally:
-            timer.cancel()
-            self._end_exchange()
+            # The exception of a future refers to this frame, which would keep
+            # the request until a cyclic collection.
+            del done
+            self._end_exchange(reader, timer)
         self._reusable = (
             reader.keep_alive
             and not reader.must_close
             and not self._transport.is_closing()
         )
-        return Response(
-            status=reader.status,
-            headers=tuple(reader.headers),
-            body=bytes(reader.body),
-        )
+        return response
 
     def close(self) -> None:
         """Abort the connection, which cancels the request at the target."""
@@ -155,17 +155,18 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse received bytes of the response."""
-        if self._reader is None:
+        reader = self._reader
+        if reader is None:
             # Without a request in progress, these bytes would be mistaken for
             # the response to the next request.
             self.close()
             return
         try:
-            self._reader.feed(received)
+            reader.feed(received)
         except TargetProtocolError as exc:
             self.fail(exc)
             return
-        if self._reader.complete:
+        if reader.complete:
             self._finish()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -186,13 +187,20 @@
         )
 
     def fail(self, failure: Exception) -> None:
-        """End the exchange in progress, if any, with an error."""
+        """End the exchange in progress, if any, with an error.
+
+        Further bytes of the target close the connection.
+        """
+        self._reader = None
         if self._done is not None and not self._done.done():
             self._done.set_exception(failure)
 
-    def _end_exchange(self) -> None:
+    def _end_exchange(self, reader: ResponseReader, timer: Timer) -> None:
+        timer.cancel()
+        self._done = None
         self._reader = None
         self._memory.release(self)
+        reader.close()
 
     def _finish(self) -> None:
         if self._done is not None and not self._done.done():
--- a/src/savorystand/gateway/response_reader.py
+++ b/src/savorystand/gateway/response_reader.py
@@ -9,6 +9,7 @@
 from httptools import HttpParserError
 from httptools import HttpResponseParser
 
+from savorystand.call import Response
 from savorystand.gateway.errors import TargetProtocolError
 from savorystand.gateway.headers import header_name
 from savorystand.transport.conversion import MAX_BODY_BYTES
@@ -175,6 +176,24 @@
         self.complete = True
         return True
 
+    def response(self) -> Response:
+        """Return the response, which is complete."""
+        return Response(
+            status=self.status,
+            headers=tuple(self.headers),
+            body=bytes(self.body),
+        )
+
+    def close(self) -> None:
+        """Let go of all that has been read.
+
+        The parser refers to this reader, so that both would stay in memory
+        until a cyclic collection.
+        """
+        del self._parser
+        self.headers.clear()
+        self.body.clear()
+
     def _matches_request(self) -> bool:
         return self._matcher is None or self._matcher(tuple(self.headers))
 
