--- a/tests/membership/fake_registry.py
+++ b/tests/membership/fake_registry.py
@@ -7,7 +7,9 @@
 
 import anyio
 
+from savorystand.clock import Clock
 from savorystand.membership.registration import RegisteredNode
+from savorystand.store.connections import OPERATION_TIMEOUT_MS
 from savorystand.store.errors import StoreUnavailableError
 from savorystand.store.errors import StoreUnknownError
 from savorystand.store.rows import RowsChangedError
@@ -19,12 +21,16 @@
 class FakeRegistry:
     """Implements ``NodeRegistry`` and counts its calls by name.
 
-    While ``down`` it refuses all calls. It executes one write without a
+    While ``down`` it refuses all calls, while ``silent`` it answers none, so
+    that each fails after ``timeout_ms``. It executes one write without a
     response for each of ``lost_responses``.
     """
 
-    def __init__(self) -> None:
-        """Start without rows."""
+    def __init__(self, clock: Clock | None = None) -> None:
+        """Start without rows; ``clock`` times calls without an answer."""
+        self._clock = clock or Clock()
+        self.silent = False
+        self.timeout_ms = OPERATION_TIMEOUT_MS
         self.rows: dict[Address, RegisteredNode] = {}
         self.calls: Counter[str] = Counter()
         self.down = False
@@ -67,3 +73,6 @@
         await anyio.sleep(0)
         if self.down:
             raise StoreUnavailableError('down')
+        if self.silent:
+            await self._clock.sleep(self.timeout_ms)
+            raise StoreUnknownError('no response')
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -37,8 +37,10 @@
 class _Process:
     """A process of the node at ``_ADDRESS``."""
 
-    def __init__(self, registry: FakeRegistry) -> None:
-        self.clock = ManualClock()
+    def __init__(
+        self, registry: FakeRegistry, clock: ManualClock | None = None
+    ) -> None:
+        self.clock = clock or ManualClock()
         log = EventLog(clock=self.clock, node_id='node')
         self.departures = Departures(clock=self.clock, log=log)
         kernel = Kernel()
@@ -73,8 +75,10 @@
 
 
 @asynccontextmanager
-async def _started(registry: FakeRegistry) -> AsyncIterator[_Process]:
-    process = _Process(registry)
+async def _started(
+    registry: FakeRegistry, clock: ManualClock | None = None
+) -> AsyncIterator[_Process]:
+    process = _Process(registry, clock)
     async with anyio.create_task_group() as tasks:
         await tasks.start(process.registration.run)
         yield process
@@ -137,6 +141,27 @@
         assert await process.is_saved()
 
 
+# Guards against calls from the last moments of a silent outage that delay what
+# follows for long after its end.
+@pytest.mark.parametrize('silent_ms', [100, 700, 1400, 1500, 1700, 3300])
+async def test_departure_in_a_silent_outage_is_saved_soon_after_it(
+    silent_ms: int,
+) -> None:
+    """The target is told within 4 s that its departure is saved."""
+    clock = ManualClock()
+    registry = FakeRegistry(clock)
+    registry.store(_ADDRESS)
+    async with _started(registry, clock) as process:
+        await process.registration.refresh()
+        registry.silent = True
+        process.record()
+        await process.advance(silent_ms)
+        registry.silent = False
+        # The call in progress fails up to 1.5 s later, the next one 0.3 s after.
+        await process.advance(1900)
+        assert await process.is_saved()
+
+
 @pytest.mark.parametrize('lost_responses', [1, 3])
 async def test_departure_is_saved_although_responses_are_lost(
     lost_responses: int,
