Let targets of the soak deregister at a node that is then killed

No action of the soak combined a departure, a kill of the node that has just acknowledged it and a late announcement, and each departing target said so in its responses, which callers remember for the node.

--- a/src/savorystand/lab/soak/actions.py
+++ b/src/savorystand/lab/soak/actions.py
@@ -78,11 +78,16 @@
 
 @final
 class Departure(Enum):
-    """How a target says that it leaves, besides its responses."""
+    """How a target says that it leaves, besides its responses.
+
+    With ``KILLED`` it deregisters, and its responses do not say so. Its node is
+    killed once it has acknowledged that, and an announcement arrives late.
+    """
 
     ANNOUNCED = 'announced'
     DEREGISTERED = 'deregistered'
     UNANNOUNCED = 'unannounced'
+    KILLED = 'killed'
 
 
 @final
--- a/src/savorystand/lab/soak/performer.py
+++ b/src/savorystand/lab/soak/performer.py
@@ -140,6 +140,8 @@
             case actions.Departure.DEREGISTERED:
                 target.silent = True
                 self._acknowledge(life, accepted=await target.deregister())
+            case actions.Departure.KILLED:
+                await self._deregister_and_kill(node)
         await self._clock.sleep(DRAIN_MS + self._rng.uniform(0, CONTACT_MS))
         # It has crashed meanwhile, and come back without a plan to leave.
         if target.life != life:
@@ -151,6 +153,17 @@
         target.start_life(f'{instance}+')
         self._history.recover(disturbance)
 
+    async def _deregister_and_kill(self, node: int) -> None:
+        target = self._machines[node].target
+        life = target.life
+        target.silent = True
+        target.states_departure = False
+        late_announcement = target.next_announcement()
+        self._acknowledge(life, accepted=await target.deregister())
+        await self._machines[node].kill(self._rng.uniform(0, _DOWN_MS))
+        await self._clock.sleep(self._rng.uniform(0, _DOWN_MS))
+        await target.send_announcement(late_announcement)
+
     def _acknowledge(self, life: str, *, accepted: bool) -> None:
         if accepted:
             now = self._clock.now()
--- a/src/savorystand/lab/soak/target.py
+++ b/src/savorystand/lab/soak/target.py
@@ -89,6 +89,7 @@
         'slowdown',
         'started_ms',
         'state',
+        'states_departure',
     )
 
     def __init__(  # noqa: WPS211 - a stand-in takes what it stands between
@@ -133,6 +134,8 @@
         self.fault = Fault.NONE
         self.limit = ''
         self.leaving = False
+        # Whether responses say that it leaves.
+        self.states_departure = True
         # No announcements are sent.
         self.silent = False
         self.slowdown = float(1)
@@ -140,6 +143,10 @@
 
     async def announce(self) -> bool:
         """Send an announcement; return True if the node has accepted it."""
+        return await self.send_announcement(self.next_announcement())
+
+    def next_announcement(self) -> tuple[str, bytes]:
+        """Return path and body of the next announcement."""
         self._sequence += 1
         body = _TEMPLATE.substitute(
             self._location,
@@ -149,8 +156,11 @@
             sequence=self._sequence,
             started_ms=self.started_ms,
         )
-        path = f'/Instances.Heartbeat/{self.instance}'
-        return await self._post(path, body.encode())
+        return f'/Instances.Heartbeat/{self.instance}', body.encode()
+
+    async def send_announcement(self, announcement: tuple[str, bytes]) -> bool:
+        """Send an announcement; return True if the node has accepted it."""
+        return await self._post(*announcement)
 
     async def deregister(self) -> bool:
         """Say goodbye; return True if the node has accepted it."""
@@ -214,7 +224,7 @@
         self._history.name_limit(self.life, read_limit(self.limit))
         if self.limit:
             headers.append((header_names.RATE_LIMIT, self.limit))
-        if self.leaving:
+        if self.leaving and self.states_departure:
             headers.append((header_names.LEAVING, '1'))
         lines = [f'{name}: {text}' for name, text in headers]
         return '\r\n'.join([f'HTTP/1.1 {status}', *lines, '', body]).encode()
