Retry a write of the departure row after a delay if it has changed

A write whose condition fails was repeated at once, so that two processes at one address, or a store that refuses each condition, would be called without a pause. It is now repeated like any other failed call, 0.1 to 0.3 s later.

Measured: tests/membership and tests/platform/test_control.py pass.

--- a/src/savorystand/membership/registration.py
+++ b/src/savorystand/membership/registration.py
@@ -21,7 +21,6 @@
 from savorystand.reporting.events import dependency_changed
 from savorystand.reporting.logs import EventLog
 from savorystand.store.errors import StoreError
-from savorystand.store.rows import RowsChangedError
 
 if TYPE_CHECKING:
     import random
@@ -68,7 +67,7 @@
         """Write the row of an address if it still has a version, 0 for none.
 
         Raises:
-            RowsChangedError: it has another version.
+            RowsChangedError: it has another version; nothing was written.
             StoreError: the row may not have been written.
         """
 
@@ -214,13 +213,9 @@
         version = self._version
         # Read again before the next write, whatever comes of this one.
         self._version = None
-        payload = encode_departures(lasting)
-        try:
-            await self._registry.write(
-                self._address, payload, expected_version=version
-            )
-        except RowsChangedError:
-            return
+        await self._registry.write(
+            self._address, encode_departures(lasting), expected_version=version
+        )
         self._stored = frozenset(lasting)
 
     def _observe(self, row: RegisteredNode | None) -> None:
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -185,6 +185,8 @@
         await process.registration.refresh()
         registry.store(_ADDRESS, encode_departures([earlier]))
         process.record()
+        assert not await process.is_saved()
+        await process.advance(400)
         assert await process.is_saved()
     stored = decode_departures(registry.rows[_ADDRESS].payload)
     assert set(stored) == {earlier, _DEPARTURE}
