Save a known departure once its target relies on it

A departure that a caller had told, or that of a replaced incarnation, is known but not saved. It is now saved first.

The two cases of test_known_departure_is_saved_once_the_target_relies_on_it fail before and pass. Names and comments of the departures read once more.

--- a/src/savorystand/departures/__init__.py
+++ b/src/savorystand/departures/__init__.py
@@ -1,1 +1,1 @@
-"""Departures of targets: memory, encoding and where they are kept."""
+"""Departures of targets: what a node remembers and saves."""
--- a/src/savorystand/departures/departure.py
+++ b/src/savorystand/departures/departure.py
@@ -1,4 +1,4 @@
-"""Departures of targets, which survive the process that learned of them."""
+"""A departure of a target, and how a node learned of it."""
 
 from __future__ import annotations
 
@@ -38,7 +38,8 @@
 class DepartureSource(Enum):
     """How a node learned of a departure; the values appear in the log."""
 
-    # An announcement of the target itself.
+    # The target itself said so: in an announcement, by deregistering, or beside
+    # a response.
     ANNOUNCED = 'announcement'
     DEREGISTERED = 'deregistration'
     RESPONSE = 'response'
@@ -62,3 +63,8 @@
             DepartureSource.DEREGISTERED,
             DepartureSource.RESPONSE,
         }
+
+    @property
+    def is_kept(self) -> bool:
+        """Return True if such a departure is saved, or is being saved."""
+        return self.is_promise or self is DepartureSource.STORE
--- a/src/savorystand/departures/departures.py
+++ b/src/savorystand/departures/departures.py
@@ -1,4 +1,4 @@
-"""Says whether an incarnation of the local target may get work."""
+"""Whether an incarnation of the local target may get work."""
 
 from __future__ import annotations
 
@@ -39,12 +39,11 @@
     Whatever an incarnation announces after its departure, it gets no work.
 
     A departure that this node acknowledges has to outlast its process. It is
-    saved once another place holds it, from which the next process learns of it.
+    saved once the row of this node in the store holds it; see ``Registration``.
     """
 
     __slots__ = (
         '_clock',
-        '_known',
         '_known_observers',
         '_log',
         '_observers',
@@ -52,6 +51,7 @@
         '_unsaved',
         '_unsaved_observers',
         '_waiters',
+        'earlier_known',
     )
 
     def __init__(self, *, clock: Clock, log: EventLog) -> None:
@@ -62,7 +62,8 @@
         # Monotonic time in milliseconds at which each was recorded.
         self._unsaved: dict[Departure, float] = {}
         self._waiters: set[anyio.Event] = set()
-        self._known = True
+        # False while departures before the start are awaited.
+        self.earlier_known = True
         self._observers: list[DepartureObserver] = []
         self._known_observers: list[Observer] = []
         self._unsaved_observers: list[Observer] = []
@@ -81,19 +82,15 @@
 
     def await_earlier(self) -> None:
         """Give no target work before ``record_earlier``."""
-        self._known = False
+        self.earlier_known = False
 
     def stop_awaiting(self) -> None:
         """Give targets work although earlier departures are not known."""
-        if not self._known:
-            self._known = True
+        if not self.earlier_known:
+            self.earlier_known = True
             for observer in self._known_observers:
                 observer()
 
-    def earlier_known(self) -> bool:
-        """Return False while departures before the start are awaited."""
-        return self._known
-
     def find(self, incarnation: Incarnation) -> DepartureSource | None:
         """Return how an incarnation is known to have left.
 
@@ -123,17 +120,17 @@
         )
 
     def record(self, departure: Departure, source: DepartureSource) -> None:
-        """Record a departure; no effect if it is known already."""
-        if departure in self._sources:
+        """Record a departure.
+
+        No effect if it is known already, unless the target relies on it from
+        now on, and it may not be saved yet.
+        """
+        known = self._sources.get(departure)
+        if known is None:
+            self._add(departure, source)
+        elif known.is_kept or not source.is_promise:
             return
-        if len(self._sources) >= _MAX_DEPARTURES:
-            oldest = next(iter(self._sources))
-            del self._sources[oldest]
-            self._unsaved.pop(oldest, None)
         self._sources[departure] = source
-        self._log.write(target_departed(departure, source))
-        for observer in self._observers:
-            observer(departure, source)
         if source.is_promise:
             self._unsaved[departure] = self._clock.now()
             for notify in self._unsaved_observers:
@@ -174,3 +171,13 @@
         for departure in self._unsaved:
             self._log.write(departure_unsaved(departure, max_wait_ms))
         return not self._unsaved
+
+    def _add(self, departure: Departure, source: DepartureSource) -> None:
+        if len(self._sources) >= _MAX_DEPARTURES:
+            oldest = next(iter(self._sources))
+            del self._sources[oldest]
+            self._unsaved.pop(oldest, None)
+        self._sources[departure] = source
+        self._log.write(target_departed(departure, source))
+        for observer in self._observers:
+            observer(departure, source)
--- a/src/savorystand/dispatch/announcements.py
+++ b/src/savorystand/dispatch/announcements.py
@@ -119,7 +119,7 @@
         """Return why an announcement is out of date, empty if it is not."""
         left_by = self._departures.find(announcement.incarnation)
         if left_by is not None and not announcement.leaving:
-            return f'the target has left by {left_by.value}'
+            return f'the target has left, known from: {left_by.value}'
         last = self._last
         if last is None:
             return ''
--- a/src/savorystand/dispatch/local_pool.py
+++ b/src/savorystand/dispatch/local_pool.py
@@ -153,7 +153,7 @@
         row = tables.pool(self._pool)
         if row is None or self._retired:
             return
-        if not self._departures.earlier_known():
+        if not self._departures.earlier_known:
             # The target may have left before this process started.
             return
         admission = self._kernel.find('admission', AdmissionQueue)
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -227,9 +227,9 @@
 async def test_target_gets_no_work_before_the_row_is_read() -> None:
     """Its late announcement may arrive first."""
     async with _started(_registered()) as process:
-        assert not process.departures.earlier_known()
+        assert not process.departures.earlier_known
         await process.registration.refresh()
-        assert process.departures.earlier_known()
+        assert process.departures.earlier_known
 
 
 # Guards against targets without work for as long as the store is away.
@@ -239,9 +239,9 @@
     registry.store(_ADDRESS, encode_departures([_DEPARTURE]))
     async with _started(registry) as process:
         await process.advance(900)
-        assert not process.departures.earlier_known()
+        assert not process.departures.earlier_known
         await process.advance(100)
-        assert process.departures.earlier_known()
+        assert process.departures.earlier_known
         await process.registration.refresh()
         assert process.departures.find(_TARGET) is DepartureSource.STORE
 
@@ -264,6 +264,28 @@
     assert stored == (replaced, _DEPARTURE)
 
 
+# Guards against an acknowledgement of a departure that was known, but not saved.
+@pytest.mark.parametrize(
+    'source', [DepartureSource.CALLER, DepartureSource.REPLACED]
+)
+async def test_known_departure_is_saved_once_the_target_relies_on_it(
+    source: DepartureSource,
+) -> None:
+    """Until then nobody has to be told that it is saved."""
+    registry = _registered()
+    async with _started(registry) as process:
+        await process.registration.refresh()
+        process.departures.record(_DEPARTURE, source)
+        registry.down = True
+        process.record()
+        assert not await process.is_saved()
+        registry.down = False
+        await process.advance(400)
+        assert await process.is_saved()
+    stored = decode_departures(registry.rows[_ADDRESS].payload)
+    assert stored == (_DEPARTURE,)
+
+
 @pytest.mark.parametrize(
     'payload',
     [
