Take a connection that the store resets at once for a failed one

The error is none of the store, so that the service that made the request failed and was started again; more than five such failures in 30 s end a node.

Change: the backend of both clients turns it into a connection error.

--- a/src/savorystand/lab/http_client.py
+++ b/src/savorystand/lab/http_client.py
@@ -13,6 +13,7 @@
 import httpcore
 
 from savorystand.clock import MS_PER_SECOND
+from savorystand.store.backend import TcpBackend
 
 if TYPE_CHECKING:
     from savorystand.call import Headers
@@ -51,7 +52,7 @@
     def __init__(self, *, address: Address) -> None:
         """Create a client of ``address`` without connections."""
         self._address = address
-        self._backend = httpcore.AnyIOBackend()
+        self._backend = TcpBackend()
         self._idle: list[httpcore.AsyncHTTP11Connection] = []
 
     async def send(
--- a/src/savorystand/store/connections.py
+++ b/src/savorystand/store/connections.py
@@ -13,6 +13,7 @@
 
 from savorystand.clock import MS_PER_SECOND
 from savorystand.reporting.traffic import Traffic
+from savorystand.store.backend import TcpBackend
 from savorystand.store.errors import StoreUnavailableError
 from savorystand.store.errors import StoreUnknownError
 
@@ -106,7 +107,7 @@
         self._address = address
         self._key = key
         self._timeout_ms = timeout_ms
-        self._backend = httpcore.AnyIOBackend()
+        self._backend = TcpBackend()
         self._idle: list[httpcore.AsyncHTTP11Connection] = []
 
     async def send(self, request: ServiceRequest) -> ServiceResponse:
