Push a departure to callers before it is acknowledged

Cause: only the row held the departure in the first 200 ms; callers, who tell a restarted node what they remember, heard of it with the next check of the load.

Change: the load report goes out when the departure is recorded, before the write to the store, on all connections of callers. One push for each departure, as before, up to 200 ms earlier.

--- a/src/savorystand/dispatch/load_publisher.py
+++ b/src/savorystand/dispatch/load_publisher.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from savorystand.clock import Clock
+from savorystand.departures.departures import Departures
 from savorystand.kernel.service import Service
 from savorystand.transport.inbound import InboundHandler
 from savorystand.transport.loads import load_frame
@@ -14,6 +15,8 @@
     from anyio.abc import TaskStatus
 
     from savorystand.call import TargetLoad
+    from savorystand.departures.departure import Departure
+    from savorystand.departures.departure import DepartureSource
     from savorystand.kernel.kernel import Kernel
 
 LOAD_CHECK_INTERVAL_MS = 50
@@ -25,7 +28,10 @@
 class LoadPublisher(Service):
     """Pushes the load to connected peers while the target is slow or sheds.
 
-    A rate limit that is named or ends, and a departure, are pushed once.
+    A rate limit that is named or ends is pushed once. So is a departure, at
+    once: the node may end right after it has acknowledged it, and the next
+    process at its address relies on callers while the store is away.
+
     Without the push each peer would learn of a slow or shedding target only
     from calls that fail there: with many peers and few calls from each, these
     calls dominate the tail latency.
@@ -48,6 +54,8 @@
         self._clock = kernel.find('clock', Clock)
         self._published_state: tuple[object, ...] = (False, 0, None, None)
         self._pushed_ms = float(0)
+        departures = kernel.find('departures', Departures)
+        departures.add_observer(self._push_departure)
 
     async def run(self, *, task_status: TaskStatus[None]) -> None:
         """Check the load and publish its changes until cancelled."""
@@ -57,6 +65,13 @@
             await self._clock.tick(self._interval_ms)
             self._publish_if_due(inbound.load())
 
+    def _push_departure(
+        self, departure: Departure, source: DepartureSource
+    ) -> None:
+        # The pool of the local target has applied it before.
+        inbound = self._kernel.find('inbound', InboundHandler)
+        self._publish_if_due(inbound.load())
+
     def _publish_if_due(self, load: TargetLoad) -> None:
         state = (load.slow, load.admitted_rank, load.rate_limit, load.leaving)
         now = self._clock.now()
--- a/tests/platform/test_worker_notices.py
+++ b/tests/platform/test_worker_notices.py
@@ -28,6 +28,8 @@
 from savorystand.tables.tables import Tables
 from savorystand.target_notice import Incarnation
 from savorystand.target_notice import TargetHint
+from savorystand.transport.loads import decode_load_push
+from savorystand.transport.peers import PeerTransport
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 from tests.policy_doubles import make_call
@@ -38,6 +40,7 @@
 
     from savorystand.call import Outcome
     from savorystand.kernel.kernel import Kernel
+    from savorystand.wire.codec import Message
 
 pytestmark = pytest.mark.anyio
 _DRAIN_MS = 2500
@@ -280,3 +283,22 @@
         load = (await node.call()).ok.load
     left = Incarnation(instance=_READY.instance, started_ms=_READY.started_ms)
     assert (load.leaving, load.rate_limit) == (left, 10)
+
+
+# Guards against a departure that nobody tells the next process of this node while
+# the store is away, as this one ended before its next load report.
+async def test_departure_is_pushed_to_callers_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """They remember it, and tell a node that has restarted with their calls."""
+    pushed: list[Message] = []
+    monkeypatch.setattr(
+        PeerTransport,
+        'broadcast_inbound',
+        lambda _, frame: pushed.append(frame),
+    )
+    async with _started(monkeypatch) as (node, _):
+        node.kernel.find('announcements', Announcements).deregister('i-1')
+    left = Incarnation(instance=_READY.instance, started_ms=_READY.started_ms)
+    loads = [frame.load_push for frame in pushed if frame.load_push]
+    assert [decode_load_push(push).leaving for push in loads] == [left]
