--- a/src/savorystand/node/builder.py
+++ b/src/savorystand/node/builder.py
@@ -82,6 +82,10 @@
 
 def _call_factories(cfg: NodeSettings, node_id: str) -> dict[str, Factory]:
     return {
+        'departures': lambda kernel: Departures(
+            clock=kernel.find('clock', Clock),
+            log=kernel.find('log', EventLog),
+        ),
         'target': lambda kernel: TargetClient(
             clock=kernel.find('clock', Clock),
             host=cfg.target.host,
@@ -95,10 +99,6 @@
             run_call=kernel.find('attempts', AttemptRunner).run,
             registry=KeyRegistry(),
         ),
-        'departures': lambda kernel: Departures(
-            clock=kernel.find('clock', Clock),
-            log=kernel.find('log', EventLog),
-        ),
         'local pool': lambda kernel: LocalPool(kernel=kernel),
         'notices': lambda kernel: TargetNotices(kernel=kernel),
         'inbound': lambda kernel: Inbound(kernel=kernel),
