Add the failing test of a deregistration beside a saved departure

Found by reading: it is acknowledged and not recorded, if an earlier process has saved a departure of the same instance without a start time. What a node runs is unchanged.

--- a/tests/dispatch/test_announcements.py
+++ b/tests/dispatch/test_announcements.py
@@ -11,6 +11,7 @@
 import pytest
 
 from savorystand.clock import ManualClock
+from savorystand.departures.departure import Departure
 from savorystand.departures.departures import Departures
 from savorystand.dispatch.announcements import Announcement
 from savorystand.dispatch.announcements import Announcements
@@ -20,7 +21,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from savorystand.departures.departure import Departure
     from savorystand.departures.departure import DepartureSource
     from savorystand.target_notice import Incarnation
 
@@ -232,3 +232,13 @@
     )
     assert not node.announcements.accept(replace(_READY, sequence=6))
     assert node.pool.calls == ['refill 109 i-1', 'refill 109 i-1']
+
+
+# Guards against a departure that is acknowledged and not recorded, as an earlier
+# process has saved one of the same instance without a start time.
+def test_deregistration_holds_beside_a_saved_one(node: _Node) -> None:
+    """The target has restarted under its id since, and left again."""
+    saved = Departure(instance='i-1', started_ms=5000, earlier=True)
+    node.departures.record_earlier([saved])
+    node.announcements.deregister('i-1')
+    assert not node.announcements.accept(replace(_READY, started_ms=7000))
