--- a/review/6/run.py
+++ b/review/6/run.py
@@ -65,6 +65,8 @@
         await old.fall_silent()
         await asyncio.sleep(REUSE_S)
         await old.vanish()
+        machine.service = new.service
+        machine.write_settings()
         stage.workers.append(new)
         await new.start()
     await asyncio.sleep(8)
--- a/review/9/run.py
+++ b/review/9/run.py
@@ -1,8 +1,8 @@
-"""Uploads that a worker reads slowly; see claim.txt."""
+"""Machines of a service lose power; see claim.txt."""
 
 import asyncio
 import random
-import signal
+import socket
 import sys
 import time
 from collections import Counter
@@ -12,15 +12,47 @@
 sys.path.insert(0, str(FOLDER.parent))
 import stage as stand
 
-PHOTO = bytes(4 * 2**20)
-UPLOADS_PER_S = 6.0
-UPLOAD_USERS = 12
-# A slow worker reads this many bytes at a time, which takes it 4 s in all.
-PIECE_BYTES = 65536
-PAUSE_S = 4.0 * PIECE_BYTES / len(PHOTO)
-USUAL_S = 8
-SLOW_S = 20
-LOOKUP_USERS = 12
+LOOKUPS_PER_S = 100.0
+# The client's time limit and the route's timeoutMs, as those of `bin-level`.
+LIMIT_S = 5.0
+TIMEOUT_S = 0.8
+# The answer may come this long after the timeout.
+SLACK_S = 0.5
+# The rule's bounds: this many, and more than half of those that are unanswered.
+MIN_BROKEN = 8
+DARK = 4
+DARK_S = 3.5
+# The first port of portRange, at which nodes call each other.
+PEER_PORT = 7620
+
+
+class Darkness:
+    """Takes the place of a machine without power: it answers nothing.
+
+    Opening packets are dropped, since the queue of new connections is full, and
+    datagrams are not read.
+    """
+
+    def __init__(self, machine):
+        machine.process.kill()
+        machine.process.wait()
+        address = (machine.host, PEER_PORT)
+        self._sockets = [socket.socket(type=socket.SOCK_DGRAM)]
+        self._sockets[0].bind(address)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(0)
+        self._sockets.append(listener)
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(address)
+            self._sockets.append(filler)
+
+    def end(self):
+        for each in self._sockets:
+            each.close()
 
 
 class Day:
@@ -29,126 +61,72 @@
     def __init__(self, stage, record):
         self.stage = stage
         self.record = record
-        self.entry, self.other = stage.machines
+        self.entry = stage.machines[0]
         self.counts = Counter()
-        self.peak_mb = 0.0
-        self.lost = []
-        self.pool = []
 
-    async def lookups(self):
-        """Send lookups on one kept connection, and reopen it if it ends."""
-        while True:
-            writer = None
-            number = ''
-            try:
-                reader, writer = await asyncio.open_connection(
-                    self.entry.host, 8304)
-                while True:
-                    await asyncio.sleep(random.expovariate(5))
-                    number = stand.new_id()
-                    self.record.write(f'{number} lookup sent')
-                    answer = await stand.exchange(
-                        reader, writer, 'GET', '/level/a',
-                        headers=[('Request-Id', number),
-                                 ('Deadline-Ms', '5000')])
-                    self.counts['lookup', answer.status] += 1
-                    self.record.write(f'{number} answered {answer.status}')
-            except (OSError, asyncio.IncompleteReadError):
-                ran = any(number == run[3] for worker in self.stage.workers
-                          for run in worker.runs)
-                self.record.write(f'{number} connection ended without an'
-                                  f' answer, passed on to a worker: {ran}')
-                if ran:
-                    self.lost.append(number)
-                await asyncio.sleep(0.3)
-            finally:
-                if writer is not None:
-                    writer.transport.abort()
-
-    async def uploads(self):
-        """Send uploads, each on a connection from a pool of kept ones."""
+    async def arrivals(self):
         while True:
-            await asyncio.sleep(random.expovariate(UPLOADS_PER_S))
-            self.stage.keep(self.upload())
+            await asyncio.sleep(random.expovariate(LOOKUPS_PER_S))
+            self.stage.keep(self.lookup())
 
-    async def upload(self):
+    async def lookup(self):
         number = stand.new_id()
-        self.record.write(f'{number} upload sent')
-        reader = writer = None
-        answer = stand.Answer()
-        try:
-            async with asyncio.timeout(8):
-                if self.pool:
-                    reader, writer = self.pool.pop()
-                else:
-                    reader, writer = await asyncio.open_connection(
-                        self.entry.host, 8304)
-                await stand.exchange(
-                    reader, writer, 'POST', '/photo/a', body=PHOTO,
-                    headers=[('Request-Id', number), ('Deadline-Ms', '8000')],
-                    answer=answer)
-            self.pool.append((reader, writer))
-            writer = None
-        except (OSError, TimeoutError, asyncio.IncompleteReadError) as exc:
-            answer.error = repr(exc)
-        finally:
-            if writer is not None:
-                writer.transport.abort()
-        self.counts['upload', answer.status] += 1
-        self.record.write(f'{number} answered {answer.status} {answer.error}')
-
-    async def watch(self):
-        """Kill a node that holds more memory than its machine allows."""
-        while True:
-            for machine in self.stage.machines:
-                held_mb = machine.memory_mb()
-                self.peak_mb = max(self.peak_mb, held_mb)
-                if held_mb > stand.MEMORY_MB:
-                    machine.own_ends += 1
-                    self.record.write(
-                        f'{machine.name} holds {held_mb:.0f} MB, more than'
-                        f' {stand.MEMORY_MB}: the platform kills it')
-                    machine.signal(signal.SIGKILL)
-                    machine.process.wait()
-                    await asyncio.sleep(0.5)
-                    machine.start()
-            await asyncio.sleep(0.05)
+        self.record.write(f'{number} lookup sent')
+        start = time.monotonic()
+        answer = await stand.request(
+            self.entry.outbound, 'GET', '/level/a',
+            headers=[('Request-Id', number), ('Deadline-Ms', '5000')],
+            limit_s=LIMIT_S)
+        waited_s = time.monotonic() - start
+        if waited_s <= TIMEOUT_S:
+            kind = 'in time'
+        elif waited_s <= TIMEOUT_S + SLACK_S and answer.status:
+            kind = 'within the slack'
+        else:
+            kind = 'late' if answer.status else 'never'
+        self.counts[kind] += 1
+        self.record.write(f'{number} answered {answer.status} {answer.error}'
+                          f' after {waited_s:.2f} s: {kind}')
 
 
 async def run(stage, record, trouble):
-    entry, other = stage.machines
+    entry, *others = stage.machines
     stage.configure(
         7,
-        [stand.route('r-level', '/level/', 'binwatch', 'safe', timeout_ms=5000),
-         stand.route('r-photo', '/photo/', 'routebook', 'non_idempotent',
-                     timeout_ms=8000)],
-        ['binwatch', 'routebook'])
+        [stand.route('r-level', '/level/', 'refill', 'safe', timeout_ms=800,
+                     target_ms=1200)],
+        ['binwatch', 'refill'])
     await stage.open()
-    await stage.worker(entry, work_s=0.3).start()
-    reading = stage.worker(other, work_s=0.06)
-    await reading.start()
+    for each in stage.machines:
+        await stage.worker(each).start()
     await stage.wait_ready()
     await asyncio.sleep(3)
     day = Day(stage, record)
-    stage.keep(day.watch())
-    stage.keep(day.uploads())
-    for _ in range(LOOKUP_USERS):
-        stage.keep(day.lookups())
-    await asyncio.sleep(USUAL_S)
-    record.write(f'with a usual worker: at most {day.peak_mb:.0f} MB')
+    stage.keep(day.arrivals())
+    await asyncio.sleep(4)
+    dark = []
     if trouble:
-        reading.read_piece, reading.read_pause_s = PIECE_BYTES, PAUSE_S
-    await asyncio.sleep(SLOW_S)
+        for worker in stage.workers[1:1 + DARK]:
+            await worker.crash()
+        dark = [Darkness(machine) for machine in others[:DARK]]
+        record.write(f'{DARK} machines lose power')
+    await asyncio.sleep(DARK_S)
+    for machine, darkness in zip(others, dark, strict=False):
+        darkness.end()
+        machine.start()
+    await asyncio.sleep(LIMIT_S + 1)
+    unanswered = sum(day.counts[kind] for kind in
+                     ('within the slack', 'late', 'never'))
+    broken = day.counts['late'] + day.counts['never']
     for line in (
-        f'counts {dict(day.counts)}',
-        f'largest node: {day.peak_mb:.0f} MB of {stand.MEMORY_MB}',
-        f'processes ended: {[m.own_ends for m in stage.machines]}',
-        f'LOST: {len(day.lost)} requests of kept connections, 3 are allowed',
+        f'answers to clients {dict(day.counts)}',
+        f'CONFIG: {unanswered} requests without an answer at timeoutMs,'
+        f' {broken} of them without one half a second later',
     ):
         record.write(line)
         print(line)
-    return len(day.lost) > 3
+    return broken >= MIN_BROKEN and broken * 2 > unanswered
 
 
 if __name__ == '__main__':
-    stand.main(run, FOLDER, ['binwatch', 'routebook'])
+    stand.main(run, FOLDER, ['binwatch'] + ['refill'] * 7)
--- a/review/stage.py
+++ b/review/stage.py
@@ -436,9 +436,13 @@
         self.process = None
         self.own_ends = 0
 
-    def start(self):
+    def write_settings(self):
         settings = self.stage.directory / f'{self.name}.toml'
         settings.write_text(self._settings())
+        return settings
+
+    def start(self):
+        settings = self.write_settings()
         dependencies = ROOT / 'target' / 'deps'
         with (self.stage.directory / f'{self.name}.log').open('ab') as log:
             self.process = subprocess.Popen(
