--- a/review/6/run.py
+++ b/review/6/run.py
@@ -43,7 +43,7 @@
 
 
 async def run(stage, record, trouble):
-    first, machine, _, last = stage.machines
+    first, machine, *_, last = stage.machines
     stage.configure(
         7,
         [stand.route('r-confirm', '/confirm/', 'refill', 'non_idempotent',
@@ -86,4 +86,4 @@
 
 
 if __name__ == '__main__':
-    stand.main(run, FOLDER, ['billing', 'refill', 'refill', 'billing'])
+    stand.main(run, FOLDER, ['billing', 'refill', 'refill', 'refill', 'billing'])
--- a/review/9/run.py
+++ b/review/9/run.py
@@ -21,9 +21,7 @@
 # The rule's bounds: this many, and more than half of those that are unanswered.
 MIN_BROKEN = 8
 DARK = 4
-DARK_S = 3.5
-# The first port of portRange, at which nodes call each other.
-PEER_PORT = 7620
+DARK_S = 2.0
 
 
 class Darkness:
@@ -36,7 +34,7 @@
     def __init__(self, machine):
         machine.process.kill()
         machine.process.wait()
-        address = (machine.host, PEER_PORT)
+        address = (machine.host, machine.peer_port)
         self._sockets = [socket.socket(type=socket.SOCK_DGRAM)]
         self._sockets[0].bind(address)
         listener = socket.socket()
--- a/review/stage.py
+++ b/review/stage.py
@@ -26,6 +26,8 @@
 HEARTBEAT_S = 1.5
 DRAIN_S = 2.5
 GRACE_S = 6.0
+# contactMs: a machine is in touch this long after its node was started.
+CONTACT_S = 3.0
 MEMORY_MB = 300
 HOST_NAME = 'stage.example'
 BOUNDS = [
@@ -217,6 +219,7 @@
         self.alive = True
         self.running = 0
         self.silent = asyncio.Event()
+        self.never = asyncio.Event()
         self.listener = socket.create_server(
             (self.machine.host, self.machine.app_port), backlog=512)
         self.server = await asyncio.start_server(
@@ -314,7 +317,7 @@
         length = await read_body(
             reader, fields, self.read_piece, self.read_pause_s)
         if self.silent.is_set():
-            await asyncio.Event().wait()
+            await self.never.wait()
         if not self.alive:
             return False
         number = fields.get('request-id', '')
@@ -335,7 +338,7 @@
         finally:
             self.running -= 1
         if self.silent.is_set():
-            await asyncio.Event().wait()
+            await self.never.wait()
         body = (number.encode() + b'.') * (
             self.answer_bytes // (len(number) + 1) + 1)
         body = body[:self.answer_bytes]
@@ -427,11 +430,13 @@
         self.service = service
         self.zone, self.region = zone, region
         self.host = stage.host(number)
-        self.app_port = 8301
-        self.app_address = f'{self.host}:8301'
-        self.outbound = f'{self.host}:8304'
-        self.ready_address = f'{self.host}:8302'
-        self.admin = f'{self.host}:8306'
+        self.peer_port, self.app_port, self.caller_port, *ports = stage.ports
+        self.app_address = f'{self.host}:{self.app_port}'
+        self.outbound = f'{self.host}:{self.caller_port}'
+        self.ready_address = f'{self.host}:{ports[0]}'
+        self.admin = f'{self.host}:{ports[1]}'
+        self.inbound = f'{self.host}:{ports[2]}'
+        self.started = 0.0
         self.name = f'node-{number}'
         self.process = None
         self.own_ends = 0
@@ -452,6 +457,7 @@
                      'HOME': os.environ.get('HOME', ''), 'LANG': 'C.UTF-8',
                      'PYTHONPATH': str(dependencies),
                      'SAVORYSTAND_NODE_FILE': str(settings)})
+        self.started = time.monotonic()
         self.stage.record.write(f'{self.name} started')
 
     def signal(self, number):
@@ -465,6 +471,10 @@
                 self.process.kill()
             self.process.wait()
 
+    def in_touch(self):
+        """Return True if the node was not started within contactMs."""
+        return time.monotonic() - self.started > CONTACT_S
+
     def memory_mb(self):
         """Return the resident memory of the node's process."""
         try:
@@ -490,7 +500,7 @@
 ip = "{self.host}"
 zone = "{self.zone}"
 region = "{self.region}"
-portRange = [7620,7635]
+portRange = [{self.peer_port},{self.peer_port}]
 seeds = []
 bootstrap = true
 inFailureBudget = false
@@ -504,7 +514,7 @@
 [zones]
 {zones}
 [listenAddrs]
-inbound = "{self.host}:8300"
+inbound = "{self.inbound}"
 outbound = "{self.outbound}"
 ready = "{self.ready_address}"
 admin = "{self.admin}"
@@ -546,10 +556,10 @@
         (role,) = deploy['roles'].values()
         self.command = role['run'].split(' ')
         self.command[0] = shutil.which(self.command[0]) or sys.executable
-        self._net = self._free_net()
+        self._net, self.ports = self._free_addresses(len(machines))
         self.zones = {'suva': 'viti-levu'}
         self.store = Store(record)
-        self.store_address = f'{self.host(0)}:8309'
+        self.store_address = f'{self.host(0)}:{self.ports[-1]}'
         self.machines = [
             Machine(stage=self, number=number, service=service,
                     zone='suva', region='viti-levu')
@@ -635,13 +645,19 @@
         shutil.rmtree(self.directory, ignore_errors=True)
 
     @staticmethod
-    def _free_net():
+    def _free_addresses(machines):
+        """Return a loopback net and ports that are free on all its hosts."""
         for _ in range(50):
             net = random.randrange(16, 250), random.randrange(256)
+            ports = random.sample(range(10000, 30000), 7)
             try:
-                with socket.socket() as probe:
-                    probe.bind((f'127.{net[0]}.{net[1]}.11', 8304))
-                return net
+                for number in range(machines + 1):
+                    host = f'127.{net[0]}.{net[1]}.{number + 10}'
+                    for port in ports:
+                        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                            with socket.socket(type=kind) as probe:
+                                probe.bind((host, port))
+                return net, ports
             except OSError:
                 continue
         raise CannotRun('no free loopback addresses')
@@ -673,6 +689,9 @@
         finally:
             await stage.end_tasks()
 
+    # The nodes end with the script, also if it is told to stop.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(2))
     # Streams that are still open at the end would each write a traceback.
     sys.unraisablehook = lambda unraisable: None
     code = 2
