Decide who has left from what each message proves

Cause: a deregistration was recorded for the incarnation that had announced itself last. The target had restarted under its id, its announcements were 3 s late, and the start time in its deregistration was not read. The log of the node shows it: state=departed with the start time of the earlier incarnation, and state=ready for the late announcement 2 s later.

The body of a deregistration is read.

A departure costs one write to the store, as before.

Restarts that were expected at work at once now name the start time in their departure and have been heard for longer than messages are late, or start later than any clock step: a late announcement looks the same otherwise.

--- a/src/savorystand/departures/departure.py
+++ b/src/savorystand/departures/departure.py
@@ -17,21 +17,21 @@
     """Incarnations of an instance that accept no more work.
 
     ``started_ms`` is the wall time in milliseconds at which the departed
-    incarnation started. With ``earlier`` that time is not known: all
-    incarnations that started up to ``started_ms`` have left.
+    incarnation started. With ``earlier`` that time is not known: the departed
+    one is any of those that started up to ``started_ms``.
     """
 
     instance: str
     started_ms: int
     earlier: bool = False
 
-    def covers(self, incarnation: Incarnation) -> bool:
-        """Return True if an incarnation has left by this departure."""
-        if incarnation.instance != self.instance:
-            return False
-        if self.earlier:
-            return incarnation.started_ms <= self.started_ms
-        return incarnation.started_ms == self.started_ms
+    def names(self, incarnation: Incarnation) -> bool:
+        """Return True if exactly this incarnation has left."""
+        return (
+            not self.earlier
+            and incarnation.instance == self.instance
+            and incarnation.started_ms == self.started_ms
+        )
 
 
 @final
@@ -43,7 +43,9 @@
     ANNOUNCED = 'announcement'
     DEREGISTERED = 'deregistration'
     RESPONSE = 'response'
-    # A later incarnation has taken the place of the target.
+    # A target that is known to have left has said so in another way.
+    REPEATED = 'repetition'
+    # Another incarnation has taken the place of the target.
     REPLACED = 'replacement'
     # A caller that remembers what an earlier process of this node reported.
     CALLER = 'caller'
@@ -64,7 +66,17 @@
             DepartureSource.RESPONSE,
         }
 
+    @property
+    def is_statement(self) -> bool:
+        """Return True if the target itself has told this process."""
+        return self.is_promise or self is DepartureSource.REPEATED
+
     @property
     def is_kept(self) -> bool:
-        """Return True if such a departure is saved, or is being saved."""
-        return self.is_promise or self is DepartureSource.STORE
+        """Return True if the row of this node holds it, or is about to."""
+        return self.is_statement or self is DepartureSource.STORE
+
+    @property
+    def needs_row(self) -> bool:
+        """Return True if such a departure is worth a write of its own."""
+        return self not in {DepartureSource.REPEATED, DepartureSource.REPLACED}
--- a/src/savorystand/departures/departures.py
+++ b/src/savorystand/departures/departures.py
@@ -11,6 +11,7 @@
 
 from savorystand.departures.departure import Departure
 from savorystand.departures.departure import DepartureSource
+from savorystand.departures.records import DepartureRecords
 from savorystand.reporting.target_events import departure_saved
 from savorystand.reporting.target_events import departure_unsaved
 from savorystand.reporting.target_events import target_departed
@@ -25,8 +26,6 @@
 DepartureObserver: TypeAlias = Callable[[Departure, DepartureSource], None]
 Observer: TypeAlias = Callable[[], object]
 
-# A late announcement can only be that of a recent incarnation.
-_MAX_DEPARTURES = 16
 # Departures that the next process learns of. Nodes that start together read the
 # rows of all nodes, so that a row is kept short.
 _MAX_LASTING = 3
@@ -34,9 +33,9 @@
 
 @final
 class Departures:
-    """Departures of incarnations of the local target, the latest 16.
+    """Departures of incarnations of the local target, and who hears of them.
 
-    Whatever an incarnation announces after its departure, it gets no work.
+    ``records`` decides which incarnations have left.
 
     A departure that this node acknowledges has to outlast its process. It is
     saved once the row of this node in the store holds it; see ``Registration``.
@@ -47,18 +46,18 @@
         '_known_observers',
         '_log',
         '_observers',
-        '_sources',
         '_unsaved',
         '_unsaved_observers',
         '_waiters',
         'earlier_known',
+        'records',
     )
 
     def __init__(self, *, clock: Clock, log: EventLog) -> None:
         """Start without departures; write new ones to ``log``."""
         self._clock = clock
         self._log = log
-        self._sources: dict[Departure, DepartureSource] = {}
+        self.records = DepartureRecords(clock=clock)
         # Monotonic time in milliseconds at which each was recorded.
         self._unsaved: dict[Departure, float] = {}
         self._waiters: set[anyio.Event] = set()
@@ -96,25 +95,22 @@
 
         None if it may get work.
         """
-        for departure, source in self._sources.items():
-            if departure.covers(incarnation):
-                return source
-        return None
+        return self.records.find(incarnation)
 
     def lasting(self) -> tuple[Departure, ...]:
         """Return the departures that the next process has to learn of."""
-        recent = tuple(self._sources)[-_MAX_LASTING:]
+        recent = self.records.departures()[-_MAX_LASTING:]
         older = tuple(self._unsaved.keys() - set(recent))
         return older + recent
 
     def needs_saving(self, saved: frozenset[Departure]) -> bool:
         """Return True if a lasting departure is not among the ``saved`` ones.
 
-        Replaced incarnations are saved with the next departure only: nobody
-        relies on the node to remember them.
+        Some are saved with the next departure only: nobody relies on the node
+        to remember them, or the row holds them in another form.
         """
         return any(
-            self._sources[departure] is not DepartureSource.REPLACED
+            self.records.needs_row(departure)
             for departure in self.lasting()
             if departure not in saved
         )
@@ -125,12 +121,13 @@
         No effect if it is known already, unless the target relies on it from
         now on, and it may not be saved yet.
         """
-        known = self._sources.get(departure)
-        if known is None:
-            self._add(departure, source)
-        elif known.is_kept or not source.is_promise:
+        if not self.records.is_news(departure, source):
             return
-        self._sources[departure] = source
+        for dropped in self.records.put(departure, source):
+            self._unsaved.pop(dropped, None)
+        self._log.write(target_departed(departure, source))
+        for observer in self._observers:
+            observer(departure, source)
         if source.is_promise:
             self._unsaved[departure] = self._clock.now()
             for notify in self._unsaved_observers:
@@ -171,13 +168,3 @@
         for departure in self._unsaved:
             self._log.write(departure_unsaved(departure, max_wait_ms))
         return not self._unsaved
-
-    def _add(self, departure: Departure, source: DepartureSource) -> None:
-        if len(self._sources) >= _MAX_DEPARTURES:
-            oldest = next(iter(self._sources))
-            del self._sources[oldest]
-            self._unsaved.pop(oldest, None)
-        self._sources[departure] = source
-        self._log.write(target_departed(departure, source))
-        for observer in self._observers:
-            observer(departure, source)
--- a/src/savorystand/dispatch/announcements.py
+++ b/src/savorystand/dispatch/announcements.py
@@ -7,9 +7,9 @@
 from typing import final
 
 from savorystand.clock import Clock
-from savorystand.departures.departure import Departure
-from savorystand.departures.departure import DepartureSource
+from savorystand.departures.announced import MAX_SILENCE_MS
 from savorystand.departures.departures import Departures
+from savorystand.departures.statements import DepartureStatements
 from savorystand.dispatch.local_pool import LocalPool
 from savorystand.reporting.logs import EventLog
 from savorystand.reporting.target_events import announcement_ignored
@@ -19,9 +19,6 @@
 if TYPE_CHECKING:
     from savorystand.kernel.kernel import Kernel
 
-# Two intervals of the announcements of the platform's targets.
-_SILENCE_MS = 3000
-
 
 @final
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -30,7 +27,7 @@
 
     ``instance`` and ``started_ms``, the wall time of its start, identify one
     incarnation of the target; ``sequence`` increases with each announcement
-    of that incarnation.
+    of that incarnation. ``started_ms`` is 0 if the target does not say it.
     """
 
     instance: str
@@ -50,7 +47,8 @@
     """Applies announcements and ignores those that are out of date.
 
     A delayed announcement, of this or of an earlier incarnation, must not
-    return a target to service that has since left.
+    return a target to service that has since left. ``Departures`` decides which
+    incarnations have left.
     """
 
     __slots__ = (
@@ -60,7 +58,7 @@
         '_last',
         '_last_ms',
         '_log',
-        '_wall_offset_ms',
+        '_statements',
     )
 
     def __init__(self, *, kernel: Kernel) -> None:
@@ -72,7 +70,9 @@
         self._last: Announcement | None = None
         # Monotonic time in milliseconds of the last announcement.
         self._last_ms = float(0)
-        self._wall_offset_ms = self._clock.wall_time() - self._clock.now()
+        self._statements = DepartureStatements(
+            clock=self._clock, departures=self._departures
+        )
 
     def accept(self, announcement: Announcement) -> bool:
         """Apply an announcement; return False if it is out of date.
@@ -80,53 +80,48 @@
         One that says that the target leaves holds even then.
         """
         last = self._last
+        incarnation = announcement.incarnation
         if announcement.leaving:
-            self._record_departure(announcement, DepartureSource.ANNOUNCED)
-        reason = self._reason_to_ignore(announcement)
+            self._statements.announce(incarnation)
+        in_order = self._departures.records.hear(
+            incarnation, announcement.sequence, leaving=announcement.leaving
+        )
+        reason = self._reason_to_ignore(announcement, in_order=in_order)
         if reason:
             self._log.write(
-                announcement_ignored(
-                    announcement.incarnation, announcement.sequence, reason
-                )
+                announcement_ignored(incarnation, announcement.sequence, reason)
             )
             return False
         self._last = announcement
         self._last_ms = self._clock.now()
         self._apply(announcement, last)
-        if last is not None and last.incarnation != announcement.incarnation:
-            self._record_departure(last, DepartureSource.REPLACED)
+        if last is not None and last.incarnation != incarnation:
+            self._statements.replace(last.incarnation)
         return True
 
-    def deregister(self, instance: str) -> None:
+    def deregister(self, instance: str, started_ms: int | None = None) -> None:
         """Record that an instance has left.
 
-        It concerns the incarnation that has announced itself last. If that is
-        unknown, as this process started later, it concerns all incarnations
-        that have started up to now.
+        ``started_ms`` is the start time of the incarnation that has left, in
+        milliseconds since the Unix epoch, None if the target does not say it.
         """
+        self._statements.deregister(instance, started_ms)
+
+    def _reason_to_ignore(
+        self, announcement: Announcement, *, in_order: bool
+    ) -> str:
+        known = self._departures.find(announcement.incarnation)
+        if known is not None and not announcement.leaving:
+            return f'the target has left, known from: {known.value}'
+        if not in_order:
+            return 'a later announcement has arrived before'
         last = self._last
-        if last is not None and last.instance == instance:
-            self._record_departure(last, DepartureSource.DEREGISTERED)
-            return
-        earliest = Incarnation(instance=instance, started_ms=0)
-        if self._departures.find(earliest) is None:
-            departure = Departure(
-                instance=instance, started_ms=self._wall_time(), earlier=True
-            )
-            self._departures.record(departure, DepartureSource.DEREGISTERED)
-
-    def _reason_to_ignore(self, announcement: Announcement) -> str:
-        """Return why an announcement is out of date, empty if it is not."""
-        left_by = self._departures.find(announcement.incarnation)
-        if left_by is not None and not announcement.leaving:
-            return f'the target has left, known from: {left_by.value}'
-        last = self._last
-        if last is None:
-            return ''
-        if announcement.incarnation == last.incarnation:
-            if announcement.sequence <= last.sequence:
-                return f'sequence {last.sequence} has arrived before'
-        elif announcement.started_ms < last.started_ms and self._is_live(last):
+        if (
+            last is not None
+            and announcement.incarnation != last.incarnation
+            and announcement.started_ms < last.started_ms
+            and self._is_live(last)
+        ):
             return 'a target that started later announces itself'
         return ''
 
@@ -135,22 +130,7 @@
         # their start times do not tell which one is the later.
         if self._departures.find(last.incarnation) is not None:
             return False
-        return self._clock.now() - self._last_ms < _SILENCE_MS
-
-    def _record_departure(
-        self, announcement: Announcement, source: DepartureSource
-    ) -> None:
-        departure = Departure(
-            instance=announcement.instance, started_ms=announcement.started_ms
-        )
-        self._departures.record(departure, source)
-
-    def _wall_time(self) -> int:
-        # The clock may have been set forward since the start of the process.
-        # With a time in the future, a target that restarts now would count as
-        # one that started before.
-        elapsed_ms = int(self._wall_offset_ms + self._clock.now())
-        return min(self._clock.wall_time(), elapsed_ms)
+        return self._clock.now() - self._last_ms < MAX_SILENCE_MS
 
     def _apply(
         self, announcement: Announcement, last: Announcement | None
--- a/src/savorystand/dispatch/local_pool.py
+++ b/src/savorystand/dispatch/local_pool.py
@@ -130,7 +130,7 @@
     def _apply_departure(
         self, departure: Departure, source: DepartureSource
     ) -> None:
-        if not departure.covers(self.incarnation):
+        if self._departures.find(self.incarnation) is None:
             return
         self.leave()
         if source.precedes_start:
--- a/src/savorystand/dispatch/target_notices.py
+++ b/src/savorystand/dispatch/target_notices.py
@@ -7,9 +7,8 @@
 from savorystand.admission.rate_limit import RateLimit
 from savorystand.clock import MS_PER_SECOND
 from savorystand.clock import Clock
-from savorystand.departures.departure import Departure
-from savorystand.departures.departure import DepartureSource
 from savorystand.departures.departures import Departures
+from savorystand.departures.statements import DepartureStatements
 from savorystand.dispatch.local_pool import LocalPool
 from savorystand.kernel.service import Service
 from savorystand.reporting.logs import EventLog
@@ -22,7 +21,6 @@
     from anyio.abc import TaskStatus
 
     from savorystand.kernel.kernel import Kernel
-    from savorystand.target_notice import Incarnation
     from savorystand.target_notice import TargetHint
     from savorystand.target_notice import TargetNotice
 
@@ -34,12 +32,15 @@
     earlier one are ignored.
     """
 
-    __slots__ = ('_clock', '_departures', '_local_pool', '_log', '_rate_limit')
+    __slots__ = ('_clock', '_local_pool', '_log', '_rate_limit', '_statements')
 
     def __init__(self, *, kernel: Kernel) -> None:
         """Apply notices to the departures and rate limit of ``kernel``."""
         self._clock = kernel.find('clock', Clock)
-        self._departures = kernel.find('departures', Departures)
+        self._statements = DepartureStatements(
+            clock=self._clock,
+            departures=kernel.find('departures', Departures),
+        )
         self._local_pool = kernel.find('local pool', LocalPool)
         self._log = kernel.find('log', EventLog)
         self._rate_limit = kernel.find('rate limit', RateLimit)
@@ -64,7 +65,7 @@
         if self._rate_limit.apply(notice.rate, sent_ms=notice.sent_ms):
             self._log_limit('response')
         if notice.leaving:
-            self._record_departure(incarnation, DepartureSource.RESPONSE)
+            self._statements.respond(incarnation)
 
     def assume(self, hint: TargetHint) -> None:
         """Apply what a caller remembers from before this node started."""
@@ -72,17 +73,9 @@
         if per_second is not None and self._rate_limit.assume(per_second):
             self._log_limit('caller')
         if hint.left is not None:
-            self._record_departure(hint.left, DepartureSource.CALLER)
+            self._statements.remember(hint.left)
 
     def _log_limit(self, source: str) -> None:
         instance = self._local_pool.incarnation.instance
         per_second = self._rate_limit.current()
         self._log.write(rate_limit_changed(instance, per_second, source))
-
-    def _record_departure(
-        self, incarnation: Incarnation, source: DepartureSource
-    ) -> None:
-        departure = Departure(
-            instance=incarnation.instance, started_ms=incarnation.started_ms
-        )
-        self._departures.record(departure, source)
--- a/src/savorystand/platform/control.py
+++ b/src/savorystand/platform/control.py
@@ -105,15 +105,17 @@
             )
         if method == 'POST' and path.startswith(_DEREGISTER_PREFIX):
             return await self._serve_deregistration(
-                path.removeprefix(_DEREGISTER_PREFIX)
+                path.removeprefix(_DEREGISTER_PREFIX), body
             )
         return HttpResponse(status=_NOT_FOUND)
 
-    async def _serve_deregistration(self, worker_id: str) -> HttpResponse:
+    async def _serve_deregistration(
+        self, worker_id: str, body: bytes
+    ) -> HttpResponse:
         if _WORKER_ID.fullmatch(worker_id) is None:
             return HttpResponse(status=_BAD_REQUEST)
         announcements = self._kernel.find('announcements', Announcements)
-        announcements.deregister(worker_id)
+        announcements.deregister(worker_id, _decode_start(body))
         return await self._acknowledge_departure()
 
     async def _serve_heartbeat(
@@ -188,6 +190,18 @@
         )
 
 
+def _decode_start(body: bytes) -> int | None:
+    # A deregistration may have no body. A body that cannot be read names no
+    # incarnation either, and the departure holds all the same.
+    try:
+        started_ms = json.loads(body)['born']
+    except _DECODE_ERRORS:
+        return None
+    if _is_integer(started_ms) and 0 < started_ms <= MAX_NUMBER:
+        return int(started_ms)
+    return None
+
+
 def _is_integer(number: object) -> bool:
     # Excludes true and false: ``bool`` is a subclass of ``int``.
     return isinstance(number, int) and not isinstance(number, bool)
--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -42,14 +42,14 @@
 class _Announcements(Announcements):
     def __init__(self) -> None:
         self.accepted: list[Announcement] = []
-        self.deregistered: list[str] = []
+        self.deregistered: list[tuple[str, int | None]] = []
 
     def accept(self, announcement: Announcement) -> bool:
         self.accepted.append(announcement)
         return True
 
-    def deregister(self, instance: str) -> None:
-        self.deregistered.append(instance)
+    def deregister(self, instance: str, started_ms: int | None = None) -> None:
+        self.deregistered.append((instance, started_ms))
 
 
 class _Readiness:
@@ -104,7 +104,34 @@
         )
     ]
     assert await node.request('POST', '/Instances.Deregister/i-1') == 200
-    assert node.announcements.deregistered == ['i-1']
+    assert node.announcements.deregistered == [('i-1', None)]
+
+
+# Guards against a departure that is taken for that of an earlier incarnation,
+# as the start time in its body is not read (review/10).
+@pytest.mark.parametrize(
+    ('body', 'started_ms'),
+    [
+        (b'{"born":1700000000000}', 1700000000000),
+        (b'', None),
+        (b'{}', None),
+        (b'[7]', None),
+        (b'{"born":"1700000000000"}', None),
+        (b'{"born":true}', None),
+        (b'{"born":-1}', None),
+        (b'{"born":1e400}', None),
+        (b'{"born":%d}' % 10**30, None),
+        (b'[' * 100000, None),
+    ],
+)
+async def test_deregistration_names_the_start_in_its_body(
+    body: bytes, started_ms: int | None
+) -> None:
+    """A body that cannot be read must not keep the target from leaving."""
+    node = _Node()
+    path = '/Instances.Deregister/i-1'
+    assert await node.request('POST', path, body) == 200
+    assert node.announcements.deregistered == [('i-1', started_ms)]
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_worker_notices.py
+++ b/tests/platform/test_worker_notices.py
@@ -209,7 +209,9 @@
         outcomes = await node.call_often(span_ms=200, per_step=2)
         assert worker.requests == 0
         assert all(isinstance(one.error, NotRun) for one in outcomes)
-        restarted = replace(_READY, started_ms=2000, sequence=1)
+        # Later than the response also if the clock was set back meanwhile.
+        started_ms = node.clock.wall_time() + 5000
+        restarted = replace(_READY, started_ms=started_ms, sequence=1)
         announcements.accept(restarted)
         worker.extra_headers.clear()
         assert (await node.call()).is_ok()
