Bind each call to its target until its first byte is written

Cause: a call was compared with the pool of the local target when it arrived, then waited for a slot or a connection, and was written to whatever target was announced by then, whose id it bore as the expected one. The record of the case shows that all of these requests were sent before the address changed hands.

Change: LocalPool binds a call to the target's id and its pool. The binding is compared right before the first byte, after every wait, and names the expected instance. Calls that no longer match are refused as not run. A kept connection serves the target to which it was opened. A leaving target keeps its pool.

Changed in other tests: senders take the binding as an argument.

--- a/src/savorystand/dispatch/inbound.py
+++ b/src/savorystand/dispatch/inbound.py
@@ -30,6 +30,7 @@
     from savorystand.call import Call
     from savorystand.call import Outcome
     from savorystand.call import TargetLoad
+    from savorystand.gateway.target import TargetBinding
     from savorystand.kernel.kernel import Kernel
 
 
@@ -110,7 +111,8 @@
             return await keys.serve_home(call)
         if call.hint is not None:
             self._kernel.find('notices', TargetNotices).assume(call.hint)
-        if not self._local_pool.serves(call.route.pool):
+        binding = self._local_pool.bind(call.route.pool)
+        if binding is None:
             # The address was reassigned to a target of another pool.
             pool = call.route.pool
             detail = f'the local target does not serve pool {pool}'
@@ -128,7 +130,7 @@
         match admitted:
             case Permit():
                 self._observer.on_admission(call, None, waited_ms)
-                return await self._run(call, admitted)
+                return await self._run(call, admitted, binding)
             case NotRun():
                 self._observer.on_admission(call, admitted, waited_ms)
                 # The target did not run, so no retries were used.
@@ -154,13 +156,15 @@
             case NotRun():
                 return admitted
 
-    async def _run(self, call: Call, permit: Permit) -> Outcome:
+    async def _run(
+        self, call: Call, permit: Permit, binding: TargetBinding
+    ) -> Outcome:
         target = self._kernel.find('target', TargetSender)
         execution = self._executions.open(call.context, call.route.name)
         answered = False
         refused = False
         try:
-            outcome = await target.send(call, execution.execution_id)
+            outcome = await target.send(call, execution.execution_id, binding)
             self._record_contact(outcome)
             answered = outcome.is_ok()
             refused = _is_target_refusal(outcome)
--- a/src/savorystand/dispatch/local_pool.py
+++ b/src/savorystand/dispatch/local_pool.py
@@ -7,6 +7,7 @@
 from savorystand.admission.queue import AdmissionQueue
 from savorystand.admission.rate_limit import RateLimit
 from savorystand.departures.departures import Departures
+from savorystand.gateway.target import TargetBinding
 from savorystand.membership.directory import MemberDirectory
 from savorystand.tables.holder import TablesHolder
 from savorystand.target_notice import Incarnation
@@ -34,12 +35,13 @@
         '_failures',
         '_kernel',
         '_leave_delay_ms',
-        '_pool',
+        '_present',
         '_retired',
         '_serving',
         '_slots',
         'incarnation',
         'leaving',
+        'pool',
     )
 
     def __init__(
@@ -52,7 +54,10 @@
         """
         self._kernel = kernel
         self._leave_delay_ms = leave_delay_ms
-        self._pool = ''
+        # The pool that was announced last, empty before any announcement. It
+        # stays that of a target that leaves or cannot be reached.
+        self.pool = ''
+        self._present = False
         self._serving = False
         # True once this node stops.
         self._retired = False
@@ -70,9 +75,25 @@
         self._departures.add_observer(self._apply_departure)
         self._departures.add_known_observer(self._apply_current_tables)
 
-    def serves(self, pool: str) -> bool:
-        """Return True unless the target is known to serve another pool."""
-        return not self._pool or pool == self._pool
+    def bind(self, pool: str) -> TargetBinding | None:
+        """Return the binding of a call for ``pool`` to the present target.
+
+        None if the target is known to serve another pool.
+        """
+        if self.pool and pool != self.pool:
+            return None
+        return TargetBinding(pool=pool, instance=self.incarnation.instance)
+
+    def may_start(self, binding: TargetBinding) -> bool:
+        """Return True if a call that was admitted for a target may start.
+
+        False once the target accepts no new work, or if another target has
+        taken its address since.
+        """
+        if binding != self.bind(binding.pool):
+            return False
+        admission = self._kernel.find('admission', AdmissionQueue)
+        return admission.accepts_new_work()
 
     def announce(
         self,
@@ -86,7 +107,7 @@
         It receives calls once the current tables have a row for the pool.
         ``slots``, unless 0, overrides the number of slots in that row.
         """
-        known = (self._pool, self._slots, self.incarnation)
+        known = (self.pool, self._slots, self.incarnation)
         if self._serving and known == (pool, slots, incarnation):
             return
         rate_limit = self._kernel.find('rate limit', RateLimit)
@@ -95,8 +116,9 @@
         elif incarnation != self.incarnation:
             rate_limit.doubt()
         self.incarnation = incarnation
-        self._pool = pool
+        self.pool = pool
         self._slots = slots
+        self._present = True
         self.leaving = None
         self._serving = False
         self._apply_current_tables()
@@ -144,14 +166,14 @@
             admission = self._kernel.find('admission', AdmissionQueue)
             admission.drain_after(self._leave_delay_ms)
         self._serving = False
-        self._pool = ''
+        self._present = False
 
     def _apply_current_tables(self) -> None:
         self._apply_tables(self._kernel.find('tables', TablesHolder).current())
 
     def _apply_tables(self, tables: Tables) -> None:
-        row = tables.pool(self._pool)
-        if row is None or self._retired:
+        row = tables.pool(self.pool)
+        if row is None or self._retired or not self._present:
             return
         if not self._departures.earlier_known:
             # The target may have left before this process started.
@@ -162,6 +184,4 @@
             admission.open_to_new_work()
             self._serving = True
             self._failures = 0
-            self._kernel.find('membership', MemberDirectory).announce(
-                self._pool
-            )
+            self._kernel.find('membership', MemberDirectory).announce(self.pool)
--- a/src/savorystand/dispatch/target_notices.py
+++ b/src/savorystand/dispatch/target_notices.py
@@ -28,8 +28,9 @@
 class TargetNotices(Service):
     """Applies rate limits and departures to the local target.
 
-    Notices concern the incarnation of the target that sent them. Those of an
-    earlier one are ignored.
+    Notices concern the incarnation of the target that sent them. Limits of an
+    earlier one are ignored. Departures are not if the instance is the same: a
+    response does not tell which incarnation of it has sent it.
     """
 
     __slots__ = ('_clock', '_local_pool', '_log', '_rate_limit', '_statements')
@@ -57,15 +58,17 @@
 
     def receive(self, notice: TargetNotice) -> None:
         """Apply the notices in the headers of a response."""
-        incarnation = notice.incarnation
-        if incarnation != self._local_pool.incarnation:
+        present = self._local_pool.incarnation
+        if notice.incarnation.instance != present.instance:
+            return
+        if notice.leaving:
+            self._statements.respond(present)
+        if notice.incarnation != present:
             return
         if isinstance(notice.rate, RateUnreadable):
-            self._log.write(rate_limit_unreadable(incarnation.instance))
+            self._log.write(rate_limit_unreadable(present.instance))
         if self._rate_limit.apply(notice.rate, sent_ms=notice.sent_ms):
             self._log_limit('response')
-        if notice.leaving:
-            self._statements.respond(incarnation)
 
     def assume(self, hint: TargetHint) -> None:
         """Apply what a caller remembers from before this node started."""
--- a/src/savorystand/gateway/target_adapter.py
+++ b/src/savorystand/gateway/target_adapter.py
@@ -21,6 +21,7 @@
     from savorystand.call import Response
     from savorystand.gateway.response_reader import HeadObserver
     from savorystand.gateway.response_reader import ResponseMatcher
+    from savorystand.gateway.target import TargetBinding
 
 # Statuses of gateways and unavailable services (RFC 9110, sections 15.6.3 to
 # 15.6.5), which do not tell whether the call ran. Status 500 is an error of the
@@ -35,7 +36,11 @@
     """Converts calls to request headers, and responses to outcomes."""
 
     def request_headers(
-        self, call: Call, execution_id: str, remaining_ms: float
+        self,
+        call: Call,
+        execution_id: str,
+        remaining_ms: float,
+        binding: TargetBinding,
     ) -> Headers:
         """Return the request headers of a call without content-length."""
 
@@ -77,9 +82,16 @@
         self._host = host
 
     def request_headers(
-        self, call: Call, execution_id: str, remaining_ms: float
+        self,
+        call: Call,
+        execution_id: str,
+        remaining_ms: float,
+        binding: TargetBinding,
     ) -> Headers:
-        """Return the request headers of a call without content-length."""
+        """Return the request headers of a call without content-length.
+
+        These targets have no ids that a request could name.
+        """
         context = header_names.format_context(call.context, execution_id)
         return (
             ('host', self._host),
--- a/src/savorystand/gateway/target_client.py
+++ b/src/savorystand/gateway/target_client.py
@@ -20,8 +20,10 @@
     from collections.abc import Callable
 
     from savorystand.call import Call
+    from savorystand.call import Headers
     from savorystand.call import Outcome
     from savorystand.clock import Clock
+    from savorystand.gateway.target import TargetBinding
     from savorystand.gateway.target_adapter import TargetAdapter
 
 # A target may close an idle connection. If it does so while a request is being
@@ -31,7 +33,7 @@
 _CONNECTION_ERRORS = (OSError, TargetProtocolError)
 
 
-def _always() -> bool:
+def _always(binding: TargetBinding) -> bool:
     return True
 
 
@@ -60,13 +62,14 @@
         port: int,
         adapter: TargetAdapter | None = None,
         memory: ResponseMemory | None = None,
-        may_start: Callable[[], bool] = _always,
+        may_start: Callable[[TargetBinding], bool] = _always,
     ) -> None:
         """Create a client of the target at ``host`` and ``port``.
 
         Without ``adapter`` the target uses the ``savorystand-*`` headers; see
         ``ContextAdapter``. ``memory`` bounds the responses in progress.
-        ``may_start`` returns False once the target may get no further calls.
+        ``may_start`` returns False once the target of a binding may get no
+        further calls. It is asked right before the first byte is written.
         """
         self._clock = clock
         self._adapter = adapter or ContextAdapter(host=f'{host}:{port}')
@@ -74,16 +77,20 @@
         self._memory = memory or ResponseMemory()
         self._host = host
         self._port = port
-        self._idle: list[tuple[float, HttpConnection]] = []
+        # Time since when it is idle, id of its target, and the connection.
+        self._idle: list[tuple[float, str, HttpConnection]] = []
 
-    async def send(self, call: Call, execution_id: str) -> Outcome:
+    async def send(
+        self, call: Call, execution_id: str, binding: TargetBinding
+    ) -> Outcome:
         """Send a call to the target and return its outcome.
 
         ``execution_id`` identifies this run of the request at the target.
-        Each attempt that a target runs has its own.
+        Each attempt that a target runs has its own. ``binding`` is the target
+        for which the call was admitted.
         """
         try:
-            conn = self._reuse() or await self._connect(call)
+            conn = self._reuse(binding) or await self._connect(call)
         except TimeoutError:
             return Error(
                 NotRun(
@@ -98,17 +105,20 @@
                     detail=f'cannot connect to the target: {exc}',
                 )
             )
-        # Connecting takes time, in which a permission may run out.
+        # Connecting takes time, in which a permission may run out and the
+        # address may get another target.
         remaining_ms = self._remaining_ms(call)
-        refusal = self._late_refusal(remaining_ms)
+        refusal = self._late_refusal(remaining_ms, binding)
         if refusal is not None:
-            self._release(conn)
+            self._release(conn, binding)
             return Error(refusal)
-        request = self._encode_request(call, execution_id, remaining_ms)
+        headers = self._adapter.request_headers(
+            call, execution_id, remaining_ms, binding
+        )
         # From here on the target may have received a part of the request.
         try:
             response = await conn.exchange(
-                request,
+                _encode_request(call, headers),
                 remaining_ms,
                 self._adapter.response_matcher(call, is_first=conn.is_new),
                 self._adapter.head_observer(call),
@@ -127,27 +137,31 @@
             )
             return Error(failure)
         finally:
-            self._release(conn)
+            self._release(conn, binding)
         return self._adapter.outcome_of(response)
 
-    def _late_refusal(self, remaining_ms: float) -> NotRun | None:
+    def _late_refusal(
+        self, remaining_ms: float, binding: TargetBinding
+    ) -> NotRun | None:
         if remaining_ms <= 0:
             return NotRun(
                 reason=Reason.DEADLINE,
                 detail='deadline passed before the request was sent',
             )
-        if not self._may_start():
+        if not self._may_start(binding):
+            target = binding.instance or 'target'
             return NotRun(
                 reason=Reason.DRAINING,
-                detail='target left before the request was sent',
+                detail=f'{target} left before the request was sent',
             )
         return None
 
-    def _reuse(self) -> HttpConnection | None:
+    def _reuse(self, binding: TargetBinding) -> HttpConnection | None:
         while self._idle:
-            idle_since_ms, conn = self._idle.pop()
+            idle_since_ms, instance, conn = self._idle.pop()
             idle_ms = self._clock.now() - idle_since_ms
-            if conn.reusable and idle_ms < _MAX_IDLE_MS:
+            is_fresh = conn.reusable and idle_ms < _MAX_IDLE_MS
+            if is_fresh and instance == binding.instance:
                 return conn
             conn.close()
         return None
@@ -161,23 +175,19 @@
                 memory=self._memory,
             )
 
-    def _release(self, conn: HttpConnection) -> None:
+    def _release(self, conn: HttpConnection, binding: TargetBinding) -> None:
         if conn.reusable:
-            self._idle.append((self._clock.now(), conn))
+            self._idle.append((self._clock.now(), binding.instance, conn))
         else:
             conn.close()
 
     def _remaining_ms(self, call: Call) -> float:
         return call.context.deadline_ms - self._clock.now()
 
-    def _encode_request(
-        self, call: Call, execution_id: str, remaining_ms: float
-    ) -> bytes:
-        headers = self._adapter.request_headers(
-            call, execution_id, remaining_ms
-        )
-        lines = [f'{name}: {text}' for name, text in headers]
-        lines.insert(0, f'{call.method} {call.path} HTTP/1.1')
-        lines.append(f'content-length: {len(call.body)}')
-        lines.append('\r\n')
-        return '\r\n'.join(lines).encode('latin-1') + call.body
+
+def _encode_request(call: Call, headers: Headers) -> bytes:
+    lines = [f'{name}: {text}' for name, text in headers]
+    lines.insert(0, f'{call.method} {call.path} HTTP/1.1')
+    lines.append(f'content-length: {len(call.body)}')
+    lines.append('\r\n')
+    return '\r\n'.join(lines).encode('latin-1') + call.body
--- a/src/savorystand/lab/target_clients.py
+++ b/src/savorystand/lab/target_clients.py
@@ -21,6 +21,7 @@
 from savorystand.call import CallContext
 from savorystand.call import Importance
 from savorystand.clock import Clock
+from savorystand.gateway.target import TargetBinding
 from savorystand.gateway.target_client import TargetClient
 from savorystand.lab.http_client import HttpClient
 from savorystand.settings.node import Address
@@ -112,7 +113,12 @@
         HttpClient(address=address).send, 'GET', '/bins', headers=_HEADERS
     )
     client = TargetClient(clock=Clock(), host=_HOST, port=port)
-    send_with_httptools = partial(client.send, _sample_call(), 'execution')
+    send_with_httptools = partial(
+        client.send,
+        _sample_call(),
+        'execution',
+        TargetBinding(pool='', instance=''),
+    )
     spent: dict[str, list[float]] = {'httpcore': [], 'httptools': []}
     for _ in range(_ROUND_COUNT):
         spent['httpcore'].append(await _measure(send_with_httpcore))
--- a/src/savorystand/node/builder.py
+++ b/src/savorystand/node/builder.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from savorystand.admission.queue import AdmissionQueue
 from savorystand.clock import Clock
 from savorystand.deduplication.key_registry import KeyRegistry
 from savorystand.deduplication.runner import KeyedRunner
@@ -86,11 +85,12 @@
             clock=kernel.find('clock', Clock),
             log=kernel.find('log', EventLog),
         ),
+        'local pool': lambda kernel: LocalPool(kernel=kernel),
         'target': lambda kernel: TargetClient(
             clock=kernel.find('clock', Clock),
             host=cfg.target.host,
             port=cfg.target.port,
-            may_start=kernel.find('admission', AdmissionQueue).accepts_new_work,
+            may_start=kernel.find('local pool', LocalPool).may_start,
         ),
         **dispatch_factories(node_id),
         'keys': lambda kernel: KeyedRunner(
@@ -99,7 +99,6 @@
             run_call=kernel.find('attempts', AttemptRunner).run,
             registry=KeyRegistry(),
         ),
-        'local pool': lambda kernel: LocalPool(kernel=kernel),
         'notices': lambda kernel: TargetNotices(kernel=kernel),
         'inbound': lambda kernel: Inbound(kernel=kernel),
     }
--- a/src/savorystand/node/sidecar.py
+++ b/src/savorystand/node/sidecar.py
@@ -5,7 +5,6 @@
 import random
 from typing import TYPE_CHECKING
 
-from savorystand.admission.queue import AdmissionQueue
 from savorystand.clock import Clock
 from savorystand.departures.departures import Departures
 from savorystand.dispatch.announcements import Announcements
@@ -107,7 +106,7 @@
             host=cfg.node.target.host,
             port=cfg.node.target.port,
             adapter=WorkerAdapter(kernel=kernel),
-            may_start=kernel.find('admission', AdmissionQueue).accepts_new_work,
+            may_start=kernel.find('local pool', LocalPool).may_start,
         ),
         'parents': lambda kernel: ParentInference(kernel=kernel),
         'inbound': lambda kernel: Inbound(kernel=kernel, any_route=True),
--- a/src/savorystand/platform/worker_adapter.py
+++ b/src/savorystand/platform/worker_adapter.py
@@ -28,6 +28,7 @@
     from savorystand.call import Outcome
     from savorystand.gateway.response_reader import HeadObserver
     from savorystand.gateway.response_reader import ResponseMatcher
+    from savorystand.gateway.target import TargetBinding
     from savorystand.kernel.kernel import Kernel
     from savorystand.target_notice import Incarnation
     from savorystand.target_notice import RateStatement
@@ -47,23 +48,23 @@
     __slots__ = ('_clock', '_local_pool', '_notices')
 
     def __init__(self, *, kernel: Kernel) -> None:
-        """Use the instance id that the ``local pool`` of ``kernel`` holds.
-
-        Notices in responses go to its service ``notices``.
-        """
+        """Pass the notices in responses to the ``notices`` of ``kernel``."""
         self._clock = kernel.find('clock', Clock)
         self._local_pool = kernel.find('local pool', LocalPool)
         self._notices = kernel.find('notices', TargetNotices)
 
     def request_headers(
-        self, call: Call, execution_id: str, remaining_ms: float
+        self,
+        call: Call,
+        execution_id: str,
+        remaining_ms: float,
+        binding: TargetBinding,
     ) -> Headers:
         """Return the headers of a call except the length of its body."""
         deadline = (header_names.DEADLINE, str(int(remaining_ms)))
-        instance = self._local_pool.incarnation.instance
-        if not instance:
+        if not binding.instance:
             return (*call.headers, deadline)
-        expected = (header_names.EXPECTED_INSTANCE, instance)
+        expected = (header_names.EXPECTED_INSTANCE, binding.instance)
         return (*call.headers, deadline, expected)
 
     def response_matcher(
--- a/tests/dispatch/test_attempts.py
+++ b/tests/dispatch/test_attempts.py
@@ -49,6 +49,7 @@
 
     from savorystand.call import Call
     from savorystand.call import Outcome
+    from savorystand.gateway.target import TargetBinding
     from savorystand.transport.address import PeerAddress
 
 _MAY_HAVE_RUN = Error(MayHaveRun(reason=Reason.CONNECTION_LOST))
@@ -111,7 +112,9 @@
         self.node.kernel.register('target', self)
         self.inbound = Inbound(kernel=self.node.kernel)
 
-    async def send(self, call: Call, execution_id: str) -> Outcome:
+    async def send(
+        self, call: Call, execution_id: str, binding: TargetBinding
+    ) -> Outcome:
         """Call the next service, if there is one, and fail."""
         self._chain.executions[self._depth] += 1
         if self._depth + 1 < _DEPTH:
--- a/tests/gateway/test_released_bodies.py
+++ b/tests/gateway/test_released_bodies.py
@@ -17,6 +17,7 @@
 from savorystand.clock import Clock
 from savorystand.gateway import response_reader
 from savorystand.gateway.target_client import TargetClient
+from tests.policy_doubles import make_binding
 from tests.policy_doubles import make_call
 from tests.servers import stream_server
 
@@ -66,8 +67,8 @@
     clock = Clock()
     client = TargetClient(clock=clock, host='127.0.0.1', port=port)
     call = make_call(deadline_ms=clock.now() + remaining_ms, body=body)
-    outcome = await client.send(call, 'execution')
-    for _, conn in client._idle:
+    outcome = await client.send(call, 'execution', make_binding())
+    for _, _, conn in client._idle:
         conn.close()
     await anyio.sleep(0)
     return outcome
--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -21,6 +21,7 @@
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
+from tests.policy_doubles import make_binding
 from tests.policy_doubles import make_call
 from tests.servers import stream_server
 
@@ -29,11 +30,13 @@
     from collections.abc import Callable
 
     from savorystand.call import Outcome
+    from savorystand.gateway.target import TargetBinding
 
 _COMPLETE_RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole'
 _STRAY_RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstray'
 _TRUNCATED_RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ncut'
 _PAUSE = b'pause'
+_BINDING = make_binding()
 _CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 
 
@@ -82,11 +85,11 @@
         return not script or script[-1] != b''
 
 
-def _always() -> bool:
+def _always(binding: TargetBinding) -> bool:
     return True
 
 
-def _never() -> bool:
+def _never(binding: TargetBinding) -> bool:
     return False
 
 
@@ -94,7 +97,7 @@
 async def _client(
     target: _Target,
     memory: ResponseMemory | None = None,
-    may_start: Callable[[], bool] | None = None,
+    may_start: Callable[[TargetBinding], bool] | None = None,
 ) -> AsyncIterator[TargetClient]:
     async with stream_server(target.serve) as port:
         yield TargetClient(
@@ -106,9 +109,13 @@
         )
 
 
-async def _send(client: TargetClient, remaining_ms: float = 10000) -> Outcome:
+async def _send(
+    client: TargetClient,
+    remaining_ms: float = 10000,
+    binding: TargetBinding = _BINDING,
+) -> Outcome:
     call = make_call(deadline_ms=Clock().now() + remaining_ms)
-    return await client.send(call, 'execution')
+    return await client.send(call, 'execution', binding)
 
 
 @pytest.mark.anyio
--- a/tests/platform/test_worker_adapter.py
+++ b/tests/platform/test_worker_adapter.py
@@ -29,6 +29,7 @@
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
+from tests.policy_doubles import make_binding
 from tests.policy_doubles import make_call
 from tests.servers import stream_server
 
@@ -39,6 +40,7 @@
 # SO_LINGER with timeout 0: closing discards unsent data and sends a reset.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _END_OF_HEAD = b'\r\n\r\n'
+_INSTANCE = 'i-7'
 _LONG_NUMBER = '9' * 400
 
 
@@ -127,7 +129,7 @@
 def _client(port: int, notices: _Notices) -> TargetClient:
     kernel = Kernel()
     kernel.register('clock', Clock())
-    kernel.register('local pool', _LocalPool('i-7'))
+    kernel.register('local pool', _LocalPool(_INSTANCE))
     kernel.register('notices', notices)
     return TargetClient(
         clock=Clock(),
@@ -140,7 +142,9 @@
 async def _send(client: TargetClient) -> Outcome:
     call = make_call(deadline_ms=Clock().now() + 5000)
     context = replace(call.context, request_id='mine')
-    return await client.send(replace(call, context=context), '')
+    return await client.send(
+        replace(call, context=context), '', make_binding(instance=_INSTANCE)
+    )
 
 
 async def test_skipped_response_does_not_count_against_size_limit() -> None:
--- a/tests/platform/test_worker_notices.py
+++ b/tests/platform/test_worker_notices.py
@@ -47,7 +47,7 @@
 _WINDOW_MS = 4000
 _STEP_MS = 50
 _END_OF_HEAD = b'\r\n\r\n'
-_READY = Announcement(
+READY = Announcement(
     instance='i-1',
     started_ms=1000,
     sequence=1,
@@ -156,7 +156,7 @@
     kernel.find('tables', TablesHolder).install(
         Tables(revision=1, change_id='', routes=(), pools=(pool,))
     )
-    kernel.find('announcements', Announcements).accept(_READY)
+    kernel.find('announcements', Announcements).accept(READY)
     return _Node(kernel=kernel, clock=kernel.find('clock', ManualClock))
 
 
@@ -202,16 +202,16 @@
         worker.extra_headers.append('Server-Leaving: 1')
         assert (await node.call()).is_ok()
         announcements = node.kernel.find('announcements', Announcements)
-        announcements.accept(replace(_READY, sequence=2))
+        announcements.accept(replace(READY, sequence=2))
         node.clock.advance(_DRAIN_MS)
-        announcements.accept(replace(_READY, sequence=3))
+        announcements.accept(replace(READY, sequence=3))
         worker.requests = 0
         outcomes = await node.call_often(span_ms=200, per_step=2)
         assert worker.requests == 0
         assert all(isinstance(one.error, NotRun) for one in outcomes)
         # Later than the response also if the clock was set back meanwhile.
         started_ms = node.clock.wall_time() + 5000
-        restarted = replace(_READY, started_ms=started_ms, sequence=1)
+        restarted = replace(READY, started_ms=started_ms, sequence=1)
         announcements.accept(restarted)
         worker.extra_headers.clear()
         assert (await node.call()).is_ok()
@@ -240,15 +240,15 @@
 
     The node that knew of its departure has restarted; its callers have not.
     """
-    left = Incarnation(instance=_READY.instance, started_ms=_READY.started_ms)
+    left = Incarnation(instance=READY.instance, started_ms=READY.started_ms)
     async with _started(monkeypatch) as (node, worker):
         refused = await node.call(TargetHint(left=left))
         assert refused.error.reason is Reason.DRAINING
         announcements = node.kernel.find('announcements', Announcements)
-        announcements.accept(replace(_READY, sequence=2))
+        announcements.accept(replace(READY, sequence=2))
         assert (await node.call()).error.reason is Reason.DRAINING
         assert worker.requests == 0
-        announcements.accept(replace(_READY, started_ms=2000, sequence=1))
+        announcements.accept(replace(READY, started_ms=2000, sequence=1))
         assert (await node.call(TargetHint(left=left))).is_ok()
 
 
@@ -259,7 +259,7 @@
 
     It may still be in need, and says nothing before its first response.
     """
-    restarted = replace(_READY, started_ms=2000, sequence=1)
+    restarted = replace(READY, started_ms=2000, sequence=1)
     async with _started(monkeypatch, 'Server-Limit: 10') as (node, worker):
         assert (await node.call()).is_ok()
         node.kernel.find('announcements', Announcements).accept(restarted)
@@ -283,7 +283,7 @@
         assert (await node.call()).ok.load.leaving is None
         worker.extra_headers += ['Server-Leaving: 1', 'Server-Limit: 10']
         load = (await node.call()).ok.load
-    left = Incarnation(instance=_READY.instance, started_ms=_READY.started_ms)
+    left = Incarnation(instance=READY.instance, started_ms=READY.started_ms)
     assert (load.leaving, load.rate_limit) == (left, 10)
 
 
@@ -301,6 +301,6 @@
     )
     async with _started(monkeypatch) as (node, _):
         node.kernel.find('announcements', Announcements).deregister('i-1')
-    left = Incarnation(instance=_READY.instance, started_ms=_READY.started_ms)
+    left = Incarnation(instance=READY.instance, started_ms=READY.started_ms)
     loads = [frame.load_push for frame in pushed if frame.load_push]
     assert [decode_load_push(push).leaving for push in loads] == [left]
--- a/tests/policy_doubles.py
+++ b/tests/policy_doubles.py
@@ -12,6 +12,7 @@
 from savorystand.clock import Clock
 from savorystand.departures.departures import Departures
 from savorystand.dispatch.local_pool import LocalPool
+from savorystand.gateway.target import TargetBinding
 from savorystand.membership.member import Member
 from savorystand.membership.member import MemberState
 from savorystand.reporting.logs import EventLog
@@ -32,6 +33,13 @@
         await checkpoint()
 
 
+def make_binding(
+    *, pool: str = 'refill', instance: str = 'i-1'
+) -> TargetBinding:
+    """Return the binding of a call to a target."""
+    return TargetBinding(pool=pool, instance=instance)
+
+
 def make_call(
     *,
     route: str = 'lookup',
--- a/tests/simulation/estate.py
+++ b/tests/simulation/estate.py
@@ -48,6 +48,7 @@
 
 if TYPE_CHECKING:
     from savorystand.call import Outcome
+    from savorystand.gateway.target import TargetBinding
 
 _FAILED = 500
 _OK = 200
@@ -188,7 +189,9 @@
             return outcome
         return Error(MayHaveRun(reason=Reason.DEADLINE))
 
-    async def send(self, call: Call, execution_id: str) -> Outcome:
+    async def send(
+        self, call: Call, execution_id: str, binding: TargetBinding
+    ) -> Outcome:
         """Serve a call at the target, which makes calls of its own."""
         estate = self._estate
         operation = estate.operations[call.route.name]
--- a/tests/trust/test_nodes.py
+++ b/tests/trust/test_nodes.py
@@ -43,6 +43,7 @@
 
     from savorystand.call import Call
     from savorystand.call import Outcome
+    from savorystand.gateway.target import TargetBinding
     from savorystand.kernel.kernel import Factory
     from savorystand.kernel.kernel import Kernel
     from savorystand.settings.node import TlsSettings
@@ -67,7 +68,9 @@
 class EchoTarget:
     """Target that responds to every call."""
 
-    async def send(self, call: Call, execution_id: str) -> Outcome:
+    async def send(
+        self, call: Call, execution_id: str, binding: TargetBinding
+    ) -> Outcome:
         """Return a response whose body is the path of the call."""
         return Ok(Response(status=200, headers=(), body=call.path.encode()))
 
