Name the present worker's service as that of the caller

Requests of clients on a machine whose worker has made room for one of another service bore the former service's name as Caller-Service.

Cause: the ingress named the service of the settings at the start of the process, and the settings may change while it runs (named by the review's report, seen by reading).

Change: the service is that of the last announcement of the local target; the settings count until there is one.

Result: test_request_names_the_service_of_the_present_worker fails before and passes.

--- a/src/savorystand/platform/ingress.py
+++ b/src/savorystand/platform/ingress.py
@@ -12,6 +12,7 @@
 from savorystand.clock import MS_PER_SECOND
 from savorystand.clock import Clock
 from savorystand.dispatch.dispatcher import Dispatcher
+from savorystand.dispatch.local_pool import LocalPool
 from savorystand.dispatch.parents import ParentInference
 from savorystand.gateway import headers as node_header_names
 from savorystand.gateway.asgi import HttpResponse
@@ -64,6 +65,7 @@
 
     __slots__ = (
         '_dispatcher',
+        '_local_pool',
         '_log',
         '_parents',
         '_service',
@@ -76,11 +78,16 @@
     )
 
     def __init__(self, *, kernel: Kernel, service: str) -> None:
-        """Serve requests that originate on the machine of ``service``."""
+        """Serve requests that originate on this machine.
+
+        ``service`` is the one that runs on it until the local target announces
+        another.
+        """
         self.clock = kernel.find('clock', Clock)
         self._log = kernel.find('log', EventLog)
         self._dispatcher = kernel.find('dispatcher', Dispatcher)
         self._parents = kernel.find('parents', ParentInference)
+        self._local_pool = kernel.find('local pool', LocalPool)
         self._tables = kernel.find('tables', TablesHolder)
         self._service = service
         self.closing = False
@@ -150,6 +157,7 @@
         forwarded = [
             pair for pair in request.headers if pair[0] not in _REPLACED_HEADERS
         ]
+        service = self._local_pool.pool or self._service
         return Call(
             context=CallContext(
                 request_id=request_id,
@@ -162,7 +170,7 @@
             route=self._splits.choose(route),
             method=request.method,
             path=request.path,
-            headers=(*forwarded, (header_names.CALLER_SERVICE, self._service)),
+            headers=(*forwarded, (header_names.CALLER_SERVICE, service)),
             body=request.body,
         )
 
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -12,6 +12,8 @@
 from expression import Error
 from expression import Ok
 
+from savorystand.admission.queue import AdmissionQueue
+from savorystand.admission.rate_limit import RateLimit
 from savorystand.call import Importance
 from savorystand.call import Response
 from savorystand.clock import ManualClock
@@ -28,6 +30,7 @@
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
+from tests.policy_doubles import register_local_pool
 
 if TYPE_CHECKING:
     from savorystand.call import Call
@@ -76,6 +79,9 @@
         kernel.register('clock', self.clock)
         kernel.register('tables', self.tables)
         kernel.register('log', EventLog(clock=ManualClock(), node_id='aa'))
+        kernel.register('admission', AdmissionQueue(clock=self.clock))
+        kernel.register('rate limit', RateLimit(clock=self.clock))
+        self.local_pool = register_local_pool(kernel)
         kernel.register('executions', ExecutionRegistry())
         kernel.register('parents', ParentInference(kernel=kernel))
         kernel.register('dispatcher', self.dispatcher)
@@ -110,6 +116,19 @@
     assert call.context.deadline_ms == 1800
 
 
+# Guards against requests that name a service that has left this machine.
+async def test_request_names_the_service_of_the_present_worker() -> None:
+    """The address of the worker goes to another service."""
+    node = _Node()
+    node.tables.install(_TABLES)
+    node.local_pool.announce('binwatch')
+    await node.send()
+    node.local_pool.leave()
+    await node.send()
+    for call in node.dispatcher.calls:
+        assert call.headers[-1] == ('caller-service', 'binwatch')
+
+
 async def test_unknown_route_and_missing_configuration() -> None:
     """Without a configuration the status is 503, not 404."""
     node = _Node()
