Share attempts to connect to a peer, and bound the waits for them

Cause: calls to a peer without a connection waited for one lock, each then connected anew for up to 1 s, and no wait knew its call's deadline. The log of the entry node shows refusals of calls after 1,002 to 2,020 ms, not-run by connection-lost, with 800 ms allowed and no overloaded queue.

Change: PeerConnector makes one attempt at a time for each peer, in a task of its own, and all that need the connection share its end. A call waits for a quarter of its remaining time at most, so that a refusal as not run leaves time for other targets. Failed attempts are followed by pauses that grow to 2 s, in which everybody is refused at once. Control frames share the attempts.

--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -11,6 +11,8 @@
 from savorystand.clock import MS_PER_SECOND
 from savorystand.clock import Clock
 from savorystand.kernel.service import Service
+from savorystand.transport.connecting import CONNECT_TIMEOUT_MS
+from savorystand.transport.connecting import PeerConnector
 from savorystand.transport.connection import PeerConnection
 from savorystand.transport.connection import monitor_silence
 from savorystand.transport.connection import refuse_unconnected
@@ -26,7 +28,6 @@
 from savorystand.wire.codec import encode_frame
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
     from collections.abc import Coroutine
 
     from anyio.abc import ByteStream
@@ -39,7 +40,6 @@
     from savorystand.transport.address import PeerAddress
     from savorystand.wire.codec import Message
 
-_CONNECT_TIMEOUT_MS = 1000
 # Bound on inbound connections; further ones are closed at once. At the target
 # size, each of 7,700 nodes may hold one of them.
 MAX_PEER_CONNECTIONS = 8192
@@ -53,10 +53,10 @@
     __slots__ = (
         '_clock',
         '_connections',
+        '_connector',
         '_host',
         '_kernel',
         '_observers',
-        '_locks',
         '_meter',
         '_port',
         '_inbound_connections',
@@ -70,7 +70,9 @@
         self._host = host
         self._port = port
         self._connections: dict[PeerAddress, PeerConnection] = {}
-        self._locks: dict[PeerAddress, anyio.Lock] = {}
+        self._connector = PeerConnector(
+            clock=self._clock, open_connection=self._open_connection
+        )
         self._observers = PeerObservers()
         self._inbound_connections: set[ServerConnection] = set()
         self._tasks: TaskGroup | None = None
@@ -98,6 +100,7 @@
         listener = await network.listen(self._host, self._port)
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
+            self._connector.start(tasks)
             tasks.start_soon(monitor_silence, self._clock, self._connections)
             task_status.started()
             await listener.serve(self._serve)
@@ -110,11 +113,14 @@
     def call(
         self, peer: PeerAddress, call: Call
     ) -> Coroutine[Any, Any, Outcome]:
-        """Make a call to a peer, opening a connection if there is none."""
+        """Make a call to a peer, opening a connection if there is none.
+
+        It waits for a connection as long as ``PeerConnector`` allows.
+        """
         conn = self._connections.get(peer)
         if conn is not None and conn.recently_active():
             return conn.call(call)
-        return _call_when_connected(self._usable_connection(peer), call)
+        return self._call_when_connected(peer, call)
 
     async def send(self, peer: PeerAddress, frame: Message) -> None:
         """Send a control frame to a peer.
@@ -122,9 +128,10 @@
         Raises:
             ConnectionLostError: no connection can be established.
         """
-        conn = await self._usable_connection(peer)
-        if conn is not None:
-            conn.send(frame)
+        conn = self._connections.get(peer)
+        if conn is None or not conn.recently_active():
+            conn = await self._connector.connect_for_control(peer)
+        conn.send(frame)
 
     def broadcast(self, frame: Message) -> None:
         """Send a control frame on all outbound and inbound connections.
@@ -144,7 +151,7 @@
     def drop_connection(self, peer: PeerAddress) -> None:
         """Close and forget the connection to a peer that will not return."""
         conn = self._connections.pop(peer, None)
-        self._locks.pop(peer, None)
+        self._connector.forget(peer)
         if conn is not None:
             conn.abort()
 
@@ -154,32 +161,21 @@
         Anti-entropy contacts random members. Without this, a node would end up
         with an open connection to every member.
         """
+        self._connector.forget_failures()
         for peer, conn in list(self._connections.items()):
             if conn.is_unused(min_idle_ms):
                 del self._connections[peer]
                 conn.abort()
 
-    async def _usable_connection(
-        self, peer: PeerAddress
-    ) -> PeerConnection | None:
+    async def _open_connection(self, peer: PeerAddress) -> PeerConnection:
         conn = self._connections.get(peer)
-        if conn is not None and conn.recently_active():
-            return conn
-        lock = self._locks.setdefault(peer, anyio.Lock())
-        async with lock:
-            conn = self._connections.get(peer)
-            if conn is not None and await conn.check_alive():
+        if conn is not None:
+            if await conn.check_alive():
                 return conn
-            return await self._open_connection(peer)
-
-    async def _open_connection(
-        self, peer: PeerAddress
-    ) -> PeerConnection | None:
+            self._connections.pop(peer, None)
+            conn.abort()
         if self._tasks is None:
-            return None
-        stale = self._connections.pop(peer, None)
-        if stale is not None:
-            stale.abort()
+            raise ConnectionLostError('this node is stopping')
         network = self._kernel.find('network', Network)
         stream = await _connect(network, peer)
         conn = PeerConnection(
@@ -194,6 +190,16 @@
         self._tasks.start_soon(_run_contained, conn, stream)
         return conn
 
+    async def _call_when_connected(
+        self, peer: PeerAddress, call: Call
+    ) -> Outcome:
+        remaining_ms = call.context.deadline_ms - self._clock.now()
+        try:
+            conn = await self._connector.connect_for_call(peer, remaining_ms)
+        except ConnectionLostError as exc:
+            return refuse_unconnected(str(exc))
+        return await conn.call(call)
+
     async def _serve(self, stream: ByteStream) -> None:
         if len(self._inbound_connections) >= MAX_PEER_CONNECTIONS:
             await anyio.aclose_forcefully(stream)
@@ -220,21 +226,9 @@
         _log.exception('level=error event=peer-connection-failed')
 
 
-async def _call_when_connected(
-    connecting: Awaitable[PeerConnection | None], call: Call
-) -> Outcome:
-    try:
-        conn = await connecting
-    except ConnectionLostError as exc:
-        return refuse_unconnected(str(exc))
-    if conn is None:
-        return refuse_unconnected('this node is stopping')
-    return await conn.call(call)
-
-
 async def _connect(network: Network, peer: PeerAddress) -> ByteStream:
     try:
-        with anyio.fail_after(_CONNECT_TIMEOUT_MS / MS_PER_SECOND):
+        with anyio.fail_after(CONNECT_TIMEOUT_MS / MS_PER_SECOND):
             return await network.connect(peer.host, peer.port)
     except OSError as exc:
         endpoint = f'{peer.host}:{peer.port}'
