Bound the wait for a connection to the local target

A call to a target that takes no connection, on the machine of its node, waited until its deadline and was refused for good, although others could serve it.

Cause: connecting to the local target knew the deadline of the call and used all of it; the refusal was DEADLINE, after which no other target is tried.

Change: a call waits for a quarter of its remaining time, 500 ms at most, and is refused as not run by UNAVAILABLE, so that its caller goes elsewhere.

Result: test_call_without_a_connection_may_go_to_another_target failed before (DEADLINE) and passes.

--- a/src/savorystand/gateway/target_client.py
+++ b/src/savorystand/gateway/target_client.py
@@ -30,6 +30,10 @@
 # sent, the outcome is ``MayHaveRun``, although the target has not run the
 # request. Connections that were idle for this time are therefore not reused.
 _MAX_IDLE_MS = 3000
+# Part of its remaining time for which a call waits for a connection, and the
+# most that a target on the same machine may take. The rest is for another one.
+_CONNECT_FRACTION = 0.25
+_MAX_CONNECT_MS = 500
 _CONNECTION_ERRORS = (OSError, TargetProtocolError)
 
 
@@ -89,13 +93,16 @@
         Each attempt that a target runs has its own. ``binding`` is the target
         for which the call was admitted.
         """
+        remaining_ms = self._remaining_ms(call)
+        if remaining_ms <= 0:
+            return Error(_deadline_refusal())
         try:
-            conn = self._reuse(binding) or await self._connect(call)
+            conn = self._reuse(binding) or await self._connect(remaining_ms)
         except TimeoutError:
             return Error(
                 NotRun(
-                    reason=Reason.DEADLINE,
-                    detail='deadline passed while connecting to the target',
+                    reason=Reason.UNAVAILABLE,
+                    detail='the target takes no connection',
                 )
             )
         except _CONNECTION_ERRORS as exc:
@@ -144,10 +151,7 @@
         self, remaining_ms: float, binding: TargetBinding
     ) -> NotRun | None:
         if remaining_ms <= 0:
-            return NotRun(
-                reason=Reason.DEADLINE,
-                detail='deadline passed before the request was sent',
-            )
+            return _deadline_refusal()
         if not self._may_start(binding):
             target = binding.instance or 'target'
             return NotRun(
@@ -166,8 +170,9 @@
             conn.close()
         return None
 
-    async def _connect(self, call: Call) -> HttpConnection:
-        with anyio.fail_after(max(0, self._remaining_ms(call)) / MS_PER_SECOND):
+    async def _connect(self, remaining_ms: float) -> HttpConnection:
+        wait_ms = min(remaining_ms * _CONNECT_FRACTION, _MAX_CONNECT_MS)
+        with anyio.fail_after(wait_ms / MS_PER_SECOND):
             return await HttpConnection.connect(
                 clock=self._clock,
                 host=self._host,
@@ -185,6 +190,13 @@
         return call.context.deadline_ms - self._clock.now()
 
 
+def _deadline_refusal() -> NotRun:
+    return NotRun(
+        reason=Reason.DEADLINE,
+        detail='deadline passed before the request was sent',
+    )
+
+
 def _encode_request(call: Call, headers: Headers) -> bytes:
     lines = [f'{name}: {text}' for name, text in headers]
     lines.insert(0, f'{call.method} {call.path} HTTP/1.1')
--- a/src/savorystand/lab/fuzz/target.py
+++ b/src/savorystand/lab/fuzz/target.py
@@ -24,7 +24,6 @@
     from anyio.abc import ByteStream
     from anyio.abc import TaskGroup
 
-    from savorystand.call import Call
     from savorystand.call import Headers
     from savorystand.clock import Clock
     from savorystand.lab.fuzz.oracle import Oracle
@@ -63,7 +62,7 @@
         super().__init__(clock=clock, host='127.0.0.1', port=1)
         self._target = target
 
-    async def _connect(self, call: Call) -> HttpConnection:
+    async def _connect(self, remaining_ms: float) -> HttpConnection:
         await anyio.sleep(0)
         conn = HttpConnection(clock=self._clock, memory=self._memory)
         self._target.connect_protocol(conn)
--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -16,8 +16,11 @@
 import pytest
 
 from savorystand.clock import Clock
+from savorystand.dispatch.attempt_budget import AttemptBudget
+from savorystand.gateway.http_connection import HttpConnection
 from savorystand.gateway.response_memory import ResponseMemory
 from savorystand.gateway.target_client import TargetClient
+from savorystand.retry.policy import RetryPolicy
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
@@ -163,6 +166,25 @@
     assert not target.requests
 
 
+# Guards against a call that waits until its deadline for a target that takes no
+# connection, although another one could serve it.
+@pytest.mark.anyio
+async def test_call_without_a_connection_may_go_to_another_target(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A connection may hang as long as the kernel repeats its first packet."""
+
+    async def connect(**options: object) -> HttpConnection:
+        return await anyio.sleep_forever()
+
+    monkeypatch.setattr(HttpConnection, 'connect', connect)
+    target = _Target()
+    async with _client(target) as client:
+        refusal = (await _send(client, 400)).error
+    assert (type(refusal), refusal.reason) == (NotRun, Reason.UNAVAILABLE)
+    assert AttemptBudget(policy=RetryPolicy(), retries=0).use_failover(refusal)
+
+
 @pytest.mark.anyio
 async def test_stray_response_is_not_delivered_to_another_call() -> None:
     """A second response on a connection is not delivered to the next call."""
