Replace a silent connection without waiting for its pong for long

Cause: the attempt began with a wait of 500 ms for the pong of the silent connection, longer than a call waits now. Closing it earlier would cut calls at a peer that is only slow.

Change: after 100 ms without a pong a new connection is opened and used. The silent one stays open until its calls have ended, or the monitor closes it.

--- a/src/savorystand/transport/connecting.py
+++ b/src/savorystand/transport/connecting.py
@@ -37,7 +37,7 @@
 _MAX_CALL_WAIT_MS = 500
 # The same once an attempt has failed: about the longest round trip twice.
 _MAX_RETRY_WAIT_MS = 100
-# A control frame waits until the attempt ends.
+# A control frame waits until the attempt ends, which may begin with a ping.
 _MAX_CONTROL_WAIT_MS = CONNECT_TIMEOUT_MS + HEARTBEAT_INTERVAL_MS
 # Pause after a failed attempt; doubled with each further failure.
 _MIN_PAUSE_MS = 100
@@ -57,7 +57,8 @@
         self.scope = anyio.CancelScope()
         self.waiters: set[asyncio.Future[None]] = set()
         self.conn: PeerConnection | None = None
-        self.problem = 'the attempt to connect has not ended yet'
+        # What is known while the attempt has not ended.
+        self.problem = 'no connection yet'
 
 
 @final
@@ -183,8 +184,9 @@
                 attempt.conn = await self._open(peer)
         except ConnectionLostError as exc:
             attempt.problem = str(exc)
-        except Exception:
+        except Exception as exc:
             # An unexpected error costs one attempt, not the node.
+            attempt.problem = repr(exc)
             _log.exception('level=error event=peer-connection-failed')
         finally:
             self._end(peer, attempt)
--- a/src/savorystand/transport/connection.py
+++ b/src/savorystand/transport/connection.py
@@ -15,6 +15,7 @@
 
 from collections.abc import Callable
 from typing import TYPE_CHECKING
+from typing import Protocol
 from typing import TypeAlias
 
 import anyio
@@ -37,23 +38,24 @@
 from savorystand.wire.gen.wire import ttypes
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable
 
     from anyio.abc import ByteStream
 
     from savorystand.call import Call
     from savorystand.call import Outcome
     from savorystand.call import TargetLoad
-    from savorystand.transport.address import PeerAddress
     from savorystand.transport.pending import PendingCall
     from savorystand.transport.writer import FrameObserver
 
 ControlCallback: TypeAlias = Callable[[Message], None]
 
-# Period of the timer that checks all connections for silence, silence after
-# which it sends a ping if calls are pending, and longest wait for the pong
-# when a connection is checked before its use.
+# Period of the timer that checks all connections for silence, and silence after
+# which it sends a ping if calls are pending.
 HEARTBEAT_INTERVAL_MS = 500
+# Longest wait for the pong when a connection is checked before its use: more
+# than two round trips between regions. Without one a new connection is opened.
+_MAX_PONG_WAIT_MS = 100
 # Silence after which a connection with pending calls is closed. The check may
 # be late by one period of the timer, so that a silent peer is detected within
 # the sum of both, 2 s: no request may wait longer for an unresponsive
@@ -173,7 +175,7 @@
 
         Without a ping, return True for a recently active connection and False
         for a closed one. Otherwise return True if a pong arrives within
-        ``HEARTBEAT_INTERVAL_MS``, and False if none arrives in that time or
+        ``_MAX_PONG_WAIT_MS``, and False if none arrives in that time or
         the connection is closed meanwhile.
         """
         if self.closed or self.recently_active():
@@ -181,7 +183,7 @@
         self._pong_received = anyio.Event()
         # The sequence number is not used: any pong shows that the peer works.
         self._writer.send(ttypes.Frame(ping=ttypes.Ping(sequence=0)))
-        with anyio.move_on_after(HEARTBEAT_INTERVAL_MS / MS_PER_SECOND):
+        with anyio.move_on_after(_MAX_PONG_WAIT_MS / MS_PER_SECOND):
             await self._pong_received.wait()
             return not self.closed
         return False
@@ -276,9 +278,14 @@
         self._pending.fail_all()
 
 
-async def monitor_silence(
-    clock: Clock, connections: Mapping[PeerAddress, PeerConnection]
-) -> None:
+class Connections(Protocol):
+    """A changing set of connections, such as a dictionary by peer."""
+
+    def values(self) -> Iterable[PeerConnection]:  # noqa: WPS110 - as of dict
+        """Return the present connections."""
+
+
+async def monitor_silence(clock: Clock, connections: Connections) -> None:
     """Check all connections for silence until cancelled.
 
     One timer serves all of them: each wake-up of an idle process costs CPU
--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -24,6 +24,7 @@
 from savorystand.transport.observers import ControlObserver
 from savorystand.transport.observers import LoadObserver
 from savorystand.transport.observers import PeerObservers
+from savorystand.transport.outbound_connections import OutboundConnections
 from savorystand.transport.server import ServerConnection
 from savorystand.wire.codec import encode_frame
 
@@ -69,7 +70,7 @@
         self._clock = kernel.find('clock', Clock)
         self._host = host
         self._port = port
-        self._connections: dict[PeerAddress, PeerConnection] = {}
+        self._connections = OutboundConnections()
         self._connector = PeerConnector(
             clock=self._clock, open_connection=self._open_connection
         )
@@ -138,8 +139,7 @@
 
         Inbound ones are included because those peers send calls to this node.
         """
-        for conn in self._connections.values():
-            conn.send(frame)
+        self._connections.send(frame)
         self.broadcast_inbound(frame)
 
     def broadcast_inbound(self, frame: Message) -> None:
@@ -150,10 +150,8 @@
 
     def drop_connection(self, peer: PeerAddress) -> None:
         """Close and forget the connection to a peer that will not return."""
-        conn = self._connections.pop(peer, None)
         self._connector.forget(peer)
-        if conn is not None:
-            conn.abort()
+        self._connections.drop(peer)
 
     def close_idle_connections(self, min_idle_ms: float) -> None:
         """Close connections without calls or traffic for ``min_idle_ms``.
@@ -162,18 +160,12 @@
         with an open connection to every member.
         """
         self._connector.forget_failures()
-        for peer, conn in list(self._connections.items()):
-            if conn.is_unused(min_idle_ms):
-                del self._connections[peer]
-                conn.abort()
+        self._connections.close_idle(min_idle_ms)
 
     async def _open_connection(self, peer: PeerAddress) -> PeerConnection:
-        conn = self._connections.get(peer)
-        if conn is not None:
-            if await conn.check_alive():
-                return conn
-            self._connections.pop(peer, None)
-            conn.abort()
+        silent = self._connections.get(peer)
+        if silent is not None and await silent.check_alive():
+            return silent
         if self._tasks is None:
             raise ConnectionLostError('this node is stopping')
         network = self._kernel.find('network', Network)
@@ -186,7 +178,7 @@
             ),
             on_frame=self._meter.observer(peer),
         )
-        self._connections[peer] = conn
+        self._connections.replace(peer, conn)
         self._tasks.start_soon(_run_contained, conn, stream)
         return conn
 
