Play lost power, reused addresses and late restarts in the soak

Change: a node may be killed with its address left dark, a target may deregister right after a restart of which its node has heard nothing, or fall silent and make room for one of the other pool. Two rules are new: no request runs in a pool other than that of its route, and most requests without a response at their deadline have one half a second later. Deregistrations name their start in half of the cases.

--- a/src/savorystand/lab/soak/actions.py
+++ b/src/savorystand/lab/soak/actions.py
@@ -20,6 +20,7 @@
 _UNREADABLE_LIMITS = ('-1', 'nan', 'x', '10, x', _LONG_DIGITS, '')
 # Ranges in milliseconds.
 _DOWN_MS = (100, 2000)
+_DARK_MS = (1000, 4000)
 _FREEZE_MS = (200, 4000)
 _SHORT_MS = (200, 2000)
 _FAULT_MS = (500, 4500)
@@ -34,10 +35,11 @@
 @final
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Kill:
-    """Kill a node."""
+    """Kill a node; without power its address does not respond meanwhile."""
 
     node: int
     down_ms: float
+    has_power: bool = True
 
 
 @final
@@ -81,13 +83,18 @@
     """How a target says that it leaves, besides its responses.
 
     With ``KILLED`` it deregisters, and its responses do not say so. Its node is
-    killed once it has acknowledged that, and an announcement arrives late.
+    killed once it has acknowledged that, and an announcement arrives late. With
+    ``RESTARTED`` it does so right after a restart under its id, of which the
+    node hears nothing before the late announcement. With ``REUSED`` it falls
+    silent, and its address goes to a target of another pool.
     """
 
     ANNOUNCED = 'announced'
     DEREGISTERED = 'deregistered'
     UNANNOUNCED = 'unannounced'
     KILLED = 'killed'
+    RESTARTED = 'restarted'
+    REUSED = 'reused'
 
 
 @final
@@ -190,7 +197,10 @@
         Configure,
         lambda: Forge(node=node),
         lambda: Restore(down_ms=rng.uniform(*_DOWN_MS)),
+        lambda: Kill(
+            node=node, down_ms=rng.uniform(*_DARK_MS), has_power=False
+        ),
     )
     # Rate limits and departures last long and are drawn more often.
-    weights = (1, 2, 1, 1, 3, 1, 3, 1, 2, 1, 2, 1, 1)
+    weights = (1, 2, 1, 1, 3, 1, 3, 1, 2, 1, 2, 1, 1, 2)
     return rng.choices(draws, weights)[0]()
--- a/src/savorystand/lab/soak/history.py
+++ b/src/savorystand/lab/soak/history.py
@@ -63,6 +63,8 @@
     ran: bool
     limit_told_ms: float
     leaving_told_ms: float
+    # Pool of the target, empty if it does not matter.
+    pool: str = ''
 
 
 @final
@@ -79,6 +81,11 @@
     status: int = 0
     is_genuine: bool = True
 
+    @property
+    def pool(self) -> str:
+        """Return the pool of its route."""
+        return 'lookups' if self.idempotent else 'orders'
+
     @property
     def runs(self) -> int:
         """Return how often targets ran the request."""
@@ -150,9 +157,15 @@
         )
 
     def arrive(
-        self, request_id: str, node: int, instance: str, *, ran: bool
+        self,
+        request_id: str,
+        node: int,
+        instance: str,
+        *,
+        ran: bool,
+        pool: str = '',
     ) -> None:
-        """Record a request at the target beside ``node``."""
+        """Record a request at the target of ``pool`` beside ``node``."""
         exchange = self.exchanges.get(request_id)
         if exchange is None:
             self.unsolicited.append(request_id)
@@ -166,6 +179,7 @@
                 ran=ran,
                 limit_told_ms=self._limit_told.get(origin, math.inf),
                 leaving_told_ms=self._leaving_told.get(origin, math.inf),
+                pool=pool,
             )
         )
 
--- a/src/savorystand/lab/soak/machine.py
+++ b/src/savorystand/lab/soak/machine.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+from contextlib import nullcontext
 from importlib import resources
 from string import Template
 from typing import TYPE_CHECKING
@@ -16,6 +17,7 @@
 from savorystand.lab.http_client import REQUEST_ERRORS
 from savorystand.lab.http_client import HttpClient
 from savorystand.lab.soak.caller import Caller
+from savorystand.lab.soak.darkness import dark_address
 from savorystand.lab.soak.history import Cause
 from savorystand.lab.soak.link import Link
 from savorystand.lab.soak.target import Target
@@ -161,10 +163,15 @@
             )
             tasks.start_soon(caller.run)
 
-    async def kill(self, down_ms: float) -> None:
-        """Kill the process and start it again."""
+    async def kill(self, down_ms: float, *, has_power: bool = True) -> None:
+        """Kill the process and start it again.
+
+        Without power its address does not respond meanwhile.
+        """
         disturbance = self._history.disturb(self._number, Cause.KILL)
-        await self._end_and_restart(signal.SIGKILL, down_ms)
+        await self._end_and_restart(
+            signal.SIGKILL, down_ms, is_dark=not has_power
+        )
         self._history.recover(disturbance)
 
     async def stop(self, down_ms: float) -> None:
@@ -204,13 +211,13 @@
         )
 
     async def _end_and_restart(
-        self, number: signal.Signals, down_ms: float
+        self, number: signal.Signals, down_ms: float, *, is_dark: bool = False
     ) -> None:
         child = self._child
         self._ending += 1
         if child is not None:
             await self._end(child, number)
-        await self._restart(child, down_ms)
+        await self._restart(child, down_ms, is_dark=is_dark)
         self._ending -= 1
 
     async def _end(self, child: Child, number: signal.Signals) -> None:
@@ -234,14 +241,21 @@
         if child is not self._killed and not is_clean:
             self._history.exits.append((self._number, child.exit_code))
 
-    async def _restart(self, ended: Child | None, down_ms: float) -> None:
+    async def _restart(
+        self, ended: Child | None, down_ms: float, *, is_dark: bool = False
+    ) -> None:
         async with self._restarting:
             if self._child is not ended:
                 # Another command has started it again.
                 return
             self._is_ready = False
             self._history.forget_notices(self._number)
-            await self._clock.sleep(down_ms)
+            with (
+                dark_address(self._host, PEER_PORT)
+                if is_dark
+                else nullcontext()
+            ):
+                await self._clock.sleep(down_ms)
             self._start()
             end_ms = self._clock.now() + _START_TIMEOUT_MS
             while not self._is_ready and self._clock.now() < end_ms:
--- a/src/savorystand/lab/soak/performer.py
+++ b/src/savorystand/lab/soak/performer.py
@@ -24,6 +24,10 @@
 
 # Time in which a target is down or its requests end.
 _DOWN_MS = 1000
+# Delay of an announcement that arrives late.
+_MAX_LATE_MS = 4500
+# Time after which the address of a target that has ended may be used again.
+_REUSE_MS = 2200
 _JSON_DEPTH = 20000
 _DEEP_JSON = b'[' * _JSON_DEPTH
 _FORGED_BODIES = (
@@ -83,8 +87,8 @@
     async def _signal(self, action: actions.Signal) -> None:
         machine = self._machines[action.node]
         match action:
-            case actions.Kill(down_ms=down_ms):
-                await machine.kill(down_ms)
+            case actions.Kill(down_ms=down_ms, has_power=has_power):
+                await machine.kill(down_ms, has_power=has_power)
             case actions.Stop(down_ms=down_ms):
                 await machine.stop(down_ms)
             case actions.Freeze(duration_ms=duration_ms):
@@ -128,9 +132,15 @@
 
     async def _leave(self, node: int, how: actions.Departure) -> None:
         target = self._machines[node].target
-        instance, life = target.instance, target.life
         if target.leaving:
             return
+        if how is actions.Departure.REUSED:
+            await self._reuse(node)
+            return
+        if how is actions.Departure.RESTARTED:
+            self._machines[node].link.reset()
+            target.start_life(target.instance)
+        instance, life = target.instance, target.life
         # All responses say so, however it is announced.
         target.leaving = True
         match how:
@@ -141,7 +151,9 @@
                 target.silent = True
                 self._acknowledge(life, accepted=await target.deregister())
             case actions.Departure.KILLED:
-                await self._deregister_and_kill(node)
+                await self._deregister(node, kill=True)
+            case actions.Departure.RESTARTED:
+                await self._deregister(node, kill=False)
         await self._clock.sleep(DRAIN_MS + self._rng.uniform(0, CONTACT_MS))
         # It has crashed meanwhile, and come back without a plan to leave.
         if target.life != life:
@@ -153,15 +165,16 @@
         target.start_life(f'{instance}+')
         self._history.recover(disturbance)
 
-    async def _deregister_and_kill(self, node: int) -> None:
+    async def _deregister(self, node: int, *, kill: bool) -> None:
         target = self._machines[node].target
         life = target.life
         target.silent = True
         target.states_departure = False
         late_announcement = target.next_announcement()
         self._acknowledge(life, accepted=await target.deregister())
-        await self._machines[node].kill(self._rng.uniform(0, _DOWN_MS))
-        await self._clock.sleep(self._rng.uniform(0, _DOWN_MS))
+        if kill:
+            await self._machines[node].kill(self._rng.uniform(0, _DOWN_MS))
+        await self._clock.sleep(self._rng.uniform(0, _MAX_LATE_MS))
         await target.send_announcement(late_announcement)
 
     def _acknowledge(self, life: str, *, accepted: bool) -> None:
@@ -169,6 +182,21 @@
             now = self._clock.now()
             self._history.acknowledged.setdefault(life, now)
 
+    async def _reuse(self, node: int) -> None:
+        target = self._machines[node].target
+        link = self._machines[node].link
+        disturbance = self._history.disturb(node, Cause.TARGET)
+        # To the other pool, and back to the own one.
+        for _ in range(2):
+            target.silent = True
+            link.state = LinkState.SILENT
+            await self._clock.sleep(_REUSE_MS)
+            target.move()
+            link.state = LinkState.GOOD
+            await self._clock.sleep(self._rng.uniform(_REUSE_MS, _MAX_LATE_MS))
+        link.reset()
+        self._history.recover(disturbance)
+
     async def _break_link(self, action: actions.BreakLink) -> None:
         if action.node is None:
             link = self._store.link
--- a/src/savorystand/lab/soak/rules.py
+++ b/src/savorystand/lab/soak/rules.py
@@ -9,6 +9,7 @@
 from savorystand.clock import MS_PER_SECOND
 from savorystand.lab.soak.history import STORE
 from savorystand.lab.soak.history import Cause
+from savorystand.lab.soak.late_responses import late_responses
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -50,6 +51,9 @@
         found.extend(_check_exchange(exchange))
         found.extend(_check_departure(history, exchange))
     found.extend(_check_cuts(history))
+    found.extend(
+        late_responses(history, deadline_ms=DEADLINE_MS, contact_ms=CONTACT_MS)
+    )
     found.extend(_check_configurations(history))
     for instance, changes in history.limits.items():
         if changes:
@@ -80,6 +84,9 @@
         yield f'twice: {name} ran {exchange.runs} times'
     if exchange.status in _REFUSED_STATUSES and exchange.runs:
         yield f'refused: {name} got {exchange.status} but ran'
+    for arrival in exchange.arrivals:
+        if arrival.ran and arrival.pool not in {'', exchange.pool}:
+            yield f'route: {name} ran at {arrival.instance} of {arrival.pool}'
     if exchange.status == _OK and not exchange.runs:
         yield f'foreign: {name} was answered but did not run'
 
--- a/src/savorystand/lab/soak/run.py
+++ b/src/savorystand/lab/soak/run.py
@@ -23,6 +23,7 @@
 from savorystand.lab.soak.rules import recovery_violations
 from savorystand.lab.soak.rules import violations
 from savorystand.lab.soak.store import SoakStore
+from savorystand.lab.soak.target import POOLS
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -31,7 +32,7 @@
 
     from savorystand.settings.node import Address
 
-_POOLS = ('lookups', 'orders')
+
 _DOMAINS = 3
 _CALLERS = 3
 # Beyond this number each node has one caller: all of them share a process.
@@ -142,7 +143,7 @@
             number=number,
             host=f'{network}.1.{host_number}',
             place={
-                'pool': _POOLS[number // _DOMAINS % len(_POOLS)],
+                'pool': POOLS[number // _DOMAINS % len(POOLS)],
                 'domain': f'd{domain}',
                 'region': f'r{domain}',
                 'store': store.text(),
--- a/src/savorystand/lab/soak/target.py
+++ b/src/savorystand/lab/soak/target.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 from enum import Enum
 from importlib import resources
 from string import Template
@@ -34,6 +35,7 @@
 # Header of responses with the life of the target that sent them.
 INSTANCE = 'x-instance'
 SLOTS = 40
+POOLS = ('lookups', 'orders')
 ANNOUNCE_INTERVAL_MS = 400
 _ANNOUNCE_TIMEOUT_MS = 1000
 _OK = 200
@@ -141,6 +143,12 @@
         self.slowdown = float(1)
         self.state = 'ready'
 
+    def move(self) -> None:
+        """Start as another target, of the other pool."""
+        other = set(POOLS) - {self._location['pool']}
+        self._location['pool'] = other.pop()
+        self.start_life(f'{self.instance}*')
+
     async def announce(self) -> bool:
         """Send an announcement; return True if the node has accepted it."""
         return await self.send_announcement(self.next_announcement())
@@ -163,8 +171,15 @@
         return await self._post(*announcement)
 
     async def deregister(self) -> bool:
-        """Say goodbye; return True if the node has accepted it."""
-        return await self._post(f'/Instances.Deregister/{self.instance}', b'')
+        """Say goodbye; return True if the node has accepted it.
+
+        The body may name the start of this life.
+        """
+        born = json.dumps({'born': self.started_ms}).encode()
+        return await self._post(
+            f'/Instances.Deregister/{self.instance}',
+            self._rng.choice((b'', born)),
+        )
 
     async def announce_always(self) -> None:
         """Announce this target until cancelled."""
@@ -193,7 +208,13 @@
         refused = self._running >= SLOTS or self._draw(Fault.REFUSE)
         if head.expected != self.instance:
             return self._encode(head, '421 Misdirected', '')
-        self._history.arrive(head.request_id, self.node, life, ran=not refused)
+        self._history.arrive(
+            head.request_id,
+            self.node,
+            life,
+            ran=not refused,
+            pool=self._location['pool'],
+        )
         if refused:
             return self._encode(
                 head, '503 Refused', '', (header_names.NOT_RUN, '1')
--- a/tests/lab/soak/test_rules.py
+++ b/tests/lab/soak/test_rules.py
@@ -32,14 +32,16 @@
         status: int = 200,
         idempotent: bool = False,
         is_genuine: bool = True,
+        pool: str = '',
+        duration_ms: int = 1,
     ) -> None:
         """Add a request of node 0 that reached the target beside node 1."""
         self._sent += 1
         name = f'r-{self._sent}'
         self.history.begin(name, 0, idempotent=idempotent)
         for ran in runs:
-            self.history.arrive(name, 1, _LIFE, ran=ran)
-        self.clock.advance(1)
+            self.history.arrive(name, 1, _LIFE, ran=ran, pool=pool)
+        self.clock.advance(duration_ms)
         self.history.end(name, status, is_genuine=is_genuine)
 
     def tell(self, *, limited: bool = False, leaving: bool = False) -> None:
@@ -211,3 +213,34 @@
     soak.exchange(status=404, idempotent=True)
     soak.history.answer_probe('r-1', changes[0])
     assert not soak.kinds()
+
+
+# Guards against a request that runs at a target of another pool and is not
+# noticed: its caller gets a whole response.
+def test_request_that_runs_in_another_pool_is_noticed() -> None:
+    """A target of that pool has the address of the former one."""
+    soak = _Soak()
+    soak.exchange(True, pool='orders')
+    soak.exchange(False, status=503, pool='lookups')
+    assert not soak.kinds()
+    soak.exchange(True, pool='lookups')
+    assert soak.kinds() == {'route'}
+
+
+# Guards against responses that nobody waits for any more and are not noticed.
+def test_late_responses_are_noticed() -> None:
+    """Some may be late at a disturbed node, or beside others in time."""
+    soak = _Soak()
+    for _ in range(8):
+        soak.exchange(True, duration_ms=2100)
+    for _ in range(8):
+        soak.exchange(True, duration_ms=2600)
+    assert not soak.kinds()
+    soak.clock.advance(1)
+    disturbance = soak.history.disturb(0, Cause.FREEZE)
+    soak.exchange(True, duration_ms=2600)
+    soak.history.recover(disturbance)
+    assert not soak.kinds()
+    soak.clock.advance(4000)
+    soak.exchange(True, duration_ms=2600)
+    assert soak.kinds() == {'late'}
