--- a/src/savorystand/node/sidecar.py
+++ b/src/savorystand/node/sidecar.py
@@ -34,6 +34,7 @@
 from savorystand.platform.worker_adapter import WorkerAdapter
 from savorystand.reporting.call_log import CallLog
 from savorystand.reporting.logs import EventLog
+from savorystand.reporting.pauses import PauseLog
 from savorystand.reporting.traffic import Traffic
 from savorystand.reporting.traffic import TrafficLog
 from savorystand.retry.budget import BudgetLimits
@@ -91,6 +92,7 @@
         ),
         'observer': lambda kernel: CallLog(kernel=kernel),
         'traffic log': lambda kernel: TrafficLog(kernel=kernel),
+        'pause log': lambda kernel: PauseLog(kernel=kernel),
         **_store_factories(cfg, traffic),
         **policy_factories(),
         'retry': lambda kernel: RetryPolicy(
--- a/src/savorystand/reporting/events.py
+++ b/src/savorystand/reporting/events.py
@@ -132,6 +132,18 @@
     )
 
 
+def process_paused(paused_ms: float) -> Event:
+    """Return the event of a time in which the process did not run.
+
+    ``paused_ms`` is its length, which may be too short by 500 ms.
+    """
+    return Event(
+        name=EventName.PROCESS_PAUSED,
+        level=Level.WARNING,
+        extra=(('paused_ms', str(int(paused_ms))),),
+    )
+
+
 def settings_reloaded(detail: str) -> Event:
     """Return the event of a signal to reload the settings."""
     return Event(name=EventName.SETTINGS_RELOADED, detail=detail)
--- a/src/savorystand/reporting/logs.py
+++ b/src/savorystand/reporting/logs.py
@@ -58,6 +58,7 @@
     SETTINGS_RELOADED = 'settings-reloaded'
     TRAFFIC_COUNTED = 'traffic-counted'
     STORE_CALLS_COUNTED = 'store-calls-counted'
+    PROCESS_PAUSED = 'process-paused'
     NODE_STARTED = 'node-started'
     NODE_STOPPING = 'node-stopping'
     EVENTS_SUPPRESSED = 'events-suppressed'
