Refuse announcements that lack a field of the protocol

Cause: the node checked the fields that it uses. The heartbeat lacked others and named another service, and counted as that of the worker.

Change: zone and version have to be texts and the remaining warm-up a duration, as every worker sends them; else the announcement is refused with 400.

Eight cases of test_control.py fail on the code before. A heartbeat that is complete and names another service is not covered: nothing tells it from the worker's.

--- a/src/savorystand/platform/control.py
+++ b/src/savorystand/platform/control.py
@@ -171,6 +171,12 @@
         numbers = (slots, sequence, started_ms)
         if not all(map(_is_integer, numbers)):
             return None
+        # This node does not use them, but each worker sends them.
+        texts = (fields['zone'], fields['version'])
+        if not all(isinstance(text, str) for text in texts):
+            return None
+        if not _is_duration(fields['warmupLeftMs']):
+            return None
         if state not in _STATES or not is_pool_name(service):
             return None
         if (
@@ -202,6 +208,16 @@
     return None
 
 
+def _is_duration(number: object) -> bool:
+    match number:
+        case bool():
+            return False
+        case int() | float():
+            return number >= 0
+        case _:
+            return False
+
+
 def _is_integer(number: object) -> bool:
     # Excludes true and false: ``bool`` is a subclass of ``int``.
     return isinstance(number, int) and not isinstance(number, bool)
--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -152,6 +152,11 @@
         {'born': 10**30},
         {'born': -1},
         {'address': '10.0.0.2:80'},
+        {'zone': None},
+        {'version': 1},
+        {'warmupLeftMs': '0'},
+        {'warmupLeftMs': -1},
+        {'warmupLeftMs': float('nan')},
     ],
 )
 async def test_invalid_heartbeats_are_refused(
@@ -169,6 +174,19 @@
     assert not node.announcements.accepted
 
 
+# Guards against a worker that gets requests of another service, after a message
+# of another writer that lacks fields (review/2).
+@pytest.mark.parametrize('missing', sorted(set(_HEARTBEAT_FIELDS) - {'born'}))
+async def test_heartbeats_without_a_field_are_refused(missing: str) -> None:
+    """A worker sends all fields; only its start may be missing."""
+    node = _Node()
+    fields = dict(_HEARTBEAT_FIELDS)
+    del fields[missing]
+    body = json.dumps(fields).encode()
+    assert await node.request('POST', '/Instances.Heartbeat/i-1', body) == 400
+    assert not node.announcements.accepted
+
+
 @pytest.mark.parametrize('worker_id', ['', 'i 1', 'i\r\nX: y', 'ï', 'i' * 129])
 async def test_invalid_worker_ids_are_refused(worker_id: str) -> None:
     """An id travels in headers and frames, in which it must have a place.
