Keep a target in service beside a late draining announcement

A target whose own announcements had been silent for 3 s lost its work for some seconds when a late announcement of the incarnation before it said that this leaves.

Cause: the announcement counted as the present one's successor, which recorded the present one as replaced.

Change: an announcement that says that its target leaves replaces nobody.

The comparison of a binding creates no object.

--- a/src/savorystand/dispatch/announcements.py
+++ b/src/savorystand/dispatch/announcements.py
@@ -95,7 +95,10 @@
         self._last = announcement
         self._last_ms = self._clock.now()
         self._apply(announcement, last)
-        if last is not None and last.incarnation != incarnation:
+        if last is None or announcement.leaving:
+            # One that leaves may be the former incarnation, not the present.
+            return True
+        if last.incarnation != incarnation:
             self._statements.replace(last.incarnation)
         return True
 
--- a/src/savorystand/dispatch/local_pool.py
+++ b/src/savorystand/dispatch/local_pool.py
@@ -80,7 +80,7 @@
 
         None if the target is known to serve another pool.
         """
-        if self.pool and pool != self.pool:
+        if not self._serves(pool):
             return None
         return TargetBinding(pool=pool, instance=self.incarnation.instance)
 
@@ -90,7 +90,9 @@
         False once the target accepts no new work, or if another target has
         taken its address since.
         """
-        if binding != self.bind(binding.pool):
+        if binding.instance != self.incarnation.instance:
+            return False
+        if not self._serves(binding.pool):
             return False
         admission = self._kernel.find('admission', AdmissionQueue)
         return admission.accepts_new_work()
@@ -149,6 +151,9 @@
         """Reset the count of failed connections."""
         self._failures = 0
 
+    def _serves(self, pool: str) -> bool:
+        return not self.pool or pool == self.pool
+
     def _apply_departure(
         self, departure: Departure, source: DepartureSource
     ) -> None:
--- a/tests/dispatch/test_announcements.py
+++ b/tests/dispatch/test_announcements.py
@@ -376,14 +376,16 @@
 # of the incarnation before it.
 @pytest.mark.parametrize('way', ['announcement', 'named'])
 @pytest.mark.parametrize('heard_before', [True, False])
+@pytest.mark.parametrize('silent_ms', [0, 4000])
 def test_late_departure_of_the_incarnation_before_changes_nothing(
-    node: _Node, way: str, *, heard_before: bool
+    node: _Node, way: str, silent_ms: int, *, heard_before: bool
 ) -> None:
-    """The message tells the start of the one that has left."""
+    """It tells the start of the one that has left; others may be late too."""
     if heard_before:
         assert node.announcements.accept(_READY)
     present = replace(_READY, started_ms=8000, sequence=1)
     assert node.announcements.accept(present)
+    node.clock.advance(silent_ms)
     _leave(node, _READY, way)
     assert 'leave' not in node.pool.calls
     assert node.announcements.accept(replace(present, sequence=2))
