--- a/tests/platform/test_reused_address.py
+++ b/tests/platform/test_reused_address.py
@@ -101,6 +101,18 @@
         yield _Node(kernel), address
 
 
+async def _begin_two_calls(
+    node: _Node, address: _Address
+) -> list[asyncio.Task[Outcome]]:
+    """Make a call that runs at the worker, and one that waits for its slot."""
+    node.announcements.accept(replace(READY, slots=1, sequence=2))
+    tasks = [asyncio.create_task(node.call()) for _ in range(2)]
+    while not address.expected:
+        await asyncio.sleep(0.01)
+    await let_tasks_run()
+    return tasks
+
+
 def _assert_not_run(outcome: Outcome) -> None:
     assert isinstance(outcome.error, NotRun)
     assert outcome.error.reason is Reason.DRAINING
@@ -111,11 +123,7 @@
 ) -> None:
     """The slot becomes free once the former worker responds or ends."""
     async with _started(monkeypatch) as (node, address):
-        node.announcements.accept(replace(READY, slots=1, sequence=2))
-        tasks = [asyncio.create_task(node.call()) for _ in range(2)]
-        while not address.expected:
-            await asyncio.sleep(0.01)
-        await let_tasks_run()
+        tasks = await _begin_two_calls(node, address)
         node.announcements.accept(_NEXT)
         address.resumed.set()
         first, second = await asyncio.gather(*tasks)
@@ -179,11 +187,7 @@
 ) -> None:
     """It is what the request names, and serves the same pool."""
     async with _started(monkeypatch) as (node, address):
-        node.announcements.accept(replace(READY, slots=1, sequence=2))
-        tasks = [asyncio.create_task(node.call()) for _ in range(2)]
-        while not address.expected:
-            await asyncio.sleep(0.01)
-        await let_tasks_run()
+        tasks = await _begin_two_calls(node, address)
         node.announcements.accept(replace(READY, started_ms=9000, slots=1))
         address.resumed.set()
         outcomes = await asyncio.gather(*tasks)
