Keep the adapter to what speaks the platform's language

Change: the parser of list headers (RFC 9110) moves to the gateway, and the fields of a heartbeat are checked from two lists in place of a condition each.

--- a/src/savorystand/gateway/headers.py
+++ b/src/savorystand/gateway/headers.py
@@ -80,3 +80,17 @@
     """
     parts = context_header.split(';')
     return parts[1] if len(parts) > 1 else ''
+
+
+def split_values(headers: Headers, wanted: str) -> list[str]:
+    """Return the values of a header whose value is a list.
+
+    Equal names may stand in lines of their own or in one, with commas between
+    their values (RFC 9110, section 5.3).
+    """
+    return [
+        text.strip()
+        for name, line in headers
+        if name == wanted
+        for text in line.split(',')
+    ]
--- a/src/savorystand/platform/control.py
+++ b/src/savorystand/platform/control.py
@@ -52,6 +52,11 @@
 _MAX_SLOTS = 1000000
 # A worker id is sent in headers and frames.
 _WORKER_ID = re.compile('[\x21-\x7e]{1,128}')
+# Fields of a heartbeat. ``sequence`` counts the announcements since the worker
+# started, ``born`` is its start time in milliseconds since the Unix epoch.
+# Without ``born`` the start counts as earlier than any announced one.
+_TEXTS = ('service', 'address', 'zone', 'version', 'state')
+_NUMBERS = ('capacity', 'sequence', 'born')
 _DECODE_ERRORS = (
     AttributeError,
     KeyError,
@@ -89,11 +94,7 @@
         await send_response(send, await self._serve(method, path, body))
 
     def close_connections(self) -> None:
-        """Do nothing: the platform sends requests until the process ends.
-
-        ``HttpListener.stop_accepting`` calls it for other listeners; a node
-        that stops keeps the listener of these endpoints open.
-        """
+        """Do nothing: the platform sends requests until the process ends."""
 
     async def _serve(self, method: str, path: str, body: bytes) -> HttpResponse:
         if method == 'GET' and path == _READINESS_PATH:
@@ -141,8 +142,7 @@
         self, worker_id: str, body: bytes
     ) -> Announcement | None:
         try:
-            fields = json.loads(body)
-            return self._parse_announcement(worker_id, fields)
+            return self._parse_announcement(worker_id, json.loads(body))
         except _DECODE_ERRORS:
             # Sent by something other than a worker, or truncated.
             return None
@@ -152,47 +152,36 @@
     ) -> Announcement | None:
         """Return the announcement in the fields of a heartbeat.
 
-        It is None if a field is out of range or of the wrong type, if the
-        worker id is malformed, or if the address is not that of the local
-        worker.
-        Any process can send heartbeats, and only the worker to which this node
-        sends its calls may change the state of the local target.
+        It is None if a field or the worker id is malformed, or if the address
+        is not that of the local worker. Any process can send heartbeats.
 
-        Raises one of ``_DECODE_ERRORS`` if a field is missing.
+        Raises one of ``_DECODE_ERRORS`` if a field is missing or of a type that
+        cannot be compared.
         """
-        state = fields['state']
-        service = fields['service']
-        slots = fields['capacity']
-        # ``sequence`` counts the announcements since the worker started,
-        # ``born`` is its start time in milliseconds since the Unix epoch.
-        # Without ``born`` the start counts as earlier than any announced one.
-        sequence = fields['sequence']
-        started_ms = fields.get('born', 0)
-        numbers = (slots, sequence, started_ms)
-        if not all(map(_is_integer, numbers)):
-            return None
-        # This node does not use them, but each worker sends them.
-        texts = (fields['zone'], fields['version'])
-        if not all(isinstance(text, str) for text in texts):
-            return None
-        if not _is_duration(fields['warmupLeftMs']):
-            return None
-        if state not in _STATES or not is_pool_name(service):
+        fields.setdefault('born', 0)
+        is_typed = all(
+            isinstance(fields[name], str) for name in _TEXTS
+        ) and all(_is_integer(fields[name]) for name in _NUMBERS)
+        is_known = fields['state'] in _STATES and _WORKER_ID.fullmatch(
+            worker_id
+        )
+        is_in_range = (
+            1 <= fields['capacity'] <= _MAX_SLOTS
+            and 0 <= fields['born'] <= MAX_NUMBER
+            and fields['warmupLeftMs'] >= 0
+        )
+        if not is_typed or not is_known or not is_in_range:
             return None
-        if (
-            fields['address'] != self._worker_address
-            or not 1 <= slots <= _MAX_SLOTS
-            or not 0 <= started_ms <= MAX_NUMBER
-            or _WORKER_ID.fullmatch(worker_id) is None
-        ):
+        is_local = fields['address'] == self._worker_address
+        if not is_local or not is_pool_name(fields['service']):
             return None
         return Announcement(
             instance=worker_id,
-            started_ms=started_ms,
-            sequence=sequence,
-            pool=service,
-            slots=slots,
-            leaving=state == _DRAINING,
+            started_ms=fields['born'],
+            sequence=fields['sequence'],
+            pool=fields['service'],
+            slots=fields['capacity'],
+            leaving=fields['state'] == _DRAINING,
         )
 
 
@@ -203,19 +192,8 @@
         started_ms = json.loads(body)['born']
     except _DECODE_ERRORS:
         return None
-    if _is_integer(started_ms) and 0 < started_ms <= MAX_NUMBER:
-        return int(started_ms)
-    return None
-
-
-def _is_duration(number: object) -> bool:
-    match number:
-        case bool():
-            return False
-        case int() | float():
-            return number >= 0
-        case _:
-            return False
+    is_start = _is_integer(started_ms) and 0 < started_ms <= MAX_NUMBER
+    return started_ms if is_start else None
 
 
 def _is_integer(number: object) -> bool:
--- a/src/savorystand/platform/ingress.py
+++ b/src/savorystand/platform/ingress.py
@@ -78,11 +78,7 @@
     )
 
     def __init__(self, *, kernel: Kernel, service: str) -> None:
-        """Serve requests that originate on this machine.
-
-        ``service`` is the one that runs on it until the local target announces
-        another.
-        """
+        """Serve requests of ``service``, unless the target names another."""
         self.clock = kernel.find('clock', Clock)
         self._log = kernel.find('log', EventLog)
         self._dispatcher = kernel.find('dispatcher', Dispatcher)
--- a/src/savorystand/platform/worker_adapter.py
+++ b/src/savorystand/platform/worker_adapter.py
@@ -14,6 +14,7 @@
 from savorystand.dispatch.local_pool import LocalPool
 from savorystand.dispatch.target_notices import TargetNotices
 from savorystand.gateway.headers import NOT_FORWARDED
+from savorystand.gateway.headers import split_values
 from savorystand.platform import headers as header_names
 from savorystand.target_notice import RateNamed
 from savorystand.target_notice import RateOmitted
@@ -126,7 +127,7 @@
             return
         if _named_requests(headers) != {request_id}:
             return
-        leaving_flags = _split_values(headers, header_names.LEAVING)
+        leaving_flags = split_values(headers, header_names.LEAVING)
         self._notices.receive(
             TargetNotice(
                 incarnation=incarnation,
@@ -153,21 +154,10 @@
 
 def _rate_statement(headers: Headers) -> RateStatement:
     # The lowest one counts if a response names several limits.
-    texts = _split_values(headers, header_names.RATE_LIMIT)
+    texts = split_values(headers, header_names.RATE_LIMIT)
     if not texts:
         return RateOmitted()
     limits = [float(text) for text in texts if _DECIMAL.fullmatch(text)]
     if not limits:
         return RateUnreadable()
     return RateNamed(per_second=min(_MAX_PER_SECOND, *limits))
-
-
-def _split_values(headers: Headers, wanted: str) -> list[str]:
-    # Equal names may stand in lines of their own or in one, with commas
-    # between their values (RFC 9110, section 5.3).
-    return [
-        text.strip()
-        for name, line in headers
-        if name == wanted
-        for text in line.split(',')
-    ]
