--- /dev/null
+++ b/src/savorystand/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Memory that a node holds for callers, peers and its target."""
--- a/src/savorystand/reporting/logs.py
+++ b/src/savorystand/reporting/logs.py
@@ -59,6 +59,8 @@
     TRAFFIC_COUNTED = 'traffic-counted'
     STORE_CALLS_COUNTED = 'store-calls-counted'
     PROCESS_PAUSED = 'process-paused'
+    MEMORY_RECLAIMED = 'memory-reclaimed'
+    MEMORY_SHORT = 'memory-short'
     NODE_STARTED = 'node-started'
     NODE_STOPPING = 'node-stopping'
     EVENTS_SUPPRESSED = 'events-suppressed'
--- /dev/null
+++ b/tests/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the memory account."""
