--- a/src/savorystand/call.py
+++ b/src/savorystand/call.py
@@ -25,6 +25,8 @@
     from savorystand.target_notice import TargetHint
 
 Headers: TypeAlias = tuple[tuple[str, str], ...]
+# Not changed once it is part of a request, call or response.
+Body: TypeAlias = bytes | bytearray
 
 
 @final
@@ -75,7 +77,7 @@
     method: str
     path: str
     headers: Headers
-    body: bytes
+    body: Body
     key: str = ''
     to_home: bool = False
     attempt: int = 0
@@ -152,7 +154,7 @@
 
     status: int
     headers: Headers
-    body: bytes
+    body: Body
     retries_left: int = 0
     load: TargetLoad = field(default_factory=TargetLoad)
 
--- a/src/savorystand/gateway/admin.py
+++ b/src/savorystand/gateway/admin.py
@@ -17,6 +17,7 @@
 from savorystand.membership.conversion import MAX_NAME_BYTES
 
 if TYPE_CHECKING:
+    from savorystand.call import Body
     from savorystand.call import Headers
     from savorystand.kernel.kernel import Kernel
 
@@ -63,7 +64,7 @@
         method: str,
         path: str,
         headers: Headers,
-        body: bytes,
+        body: Body,
         *,
         from_target: bool,
     ) -> HttpResponse:
--- a/src/savorystand/gateway/asgi.py
+++ b/src/savorystand/gateway/asgi.py
@@ -14,9 +14,9 @@
 
 from savorystand.transport.bounds import MAX_KEY_BYTES
 from savorystand.transport.bounds import MAX_PATH_BYTES
-from savorystand.transport.conversion import MAX_BODY_BYTES
 
 if TYPE_CHECKING:
+    from savorystand.call import Body
     from savorystand.call import Headers
 
 Scope: TypeAlias = dict[str, Any]
@@ -26,6 +26,8 @@
 MAX_HEADERS = 64
 _IDEMPOTENCY_KEY = b'idempotency-key'
 MAX_HEADER_BYTES = 16384
+# Longest body of a request.
+MAX_BODY_BYTES = 16777216
 # Bound on the unfinished bodies of one listener in bytes. Beyond it
 # ``BodyReader`` refuses further requests whose body arrives in parts, and still
 # reads bodies that have begun to arrive. ``RequestProtocol`` also refuses the
@@ -52,7 +54,7 @@
 
     status: int
     headers: Headers = ()
-    body: bytes = b''
+    body: Body = b''
 
 
 def json_response(document: object, *, status: int = 200) -> HttpResponse:
--- a/src/savorystand/gateway/contexts.py
+++ b/src/savorystand/gateway/contexts.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import final
 
+from savorystand.call import Body
 from savorystand.call import CallContext
 from savorystand.call import Headers
 from savorystand.gateway import headers as header_names
@@ -38,7 +39,7 @@
     method: str
     path: str
     headers: Headers
-    body: bytes
+    body: Body
     received_ms: float
 
 
--- a/src/savorystand/gateway/http_connection.py
+++ b/src/savorystand/gateway/http_connection.py
@@ -19,14 +19,16 @@
 
 from savorystand.gateway.errors import TargetProtocolError
 from savorystand.gateway.response_reader import ResponseReader
+from savorystand.memory.buffer import HeldBuffer
 
 if TYPE_CHECKING:
+    from savorystand.call import Body
     from savorystand.call import Response
     from savorystand.clock import Clock
     from savorystand.clock import Timer
-    from savorystand.gateway.response_memory import ResponseMemory
     from savorystand.gateway.response_reader import HeadObserver
     from savorystand.gateway.response_reader import ResponseMatcher
+    from savorystand.memory.account import MemoryAccount
 
 # Data that stays unacknowledged for this time ends a connection (RFC 5482), so
 # that a connection to an unreachable host fails within 2 s, but one to a slow
@@ -46,40 +48,42 @@
     """Sends one request at a time and reads its complete response."""
 
     __slots__ = (
+        '_account',
         '_clock',
         '_done',
-        '_memory',
         '_reader',
         '_reusable',
         '_transport',
         'is_new',
+        'progress_ms',
     )
 
-    def __init__(self, *, clock: Clock, memory: ResponseMemory) -> None:
+    def __init__(self, *, clock: Clock, account: MemoryAccount) -> None:
         """Create a connection without a transport; ``connect`` opens one."""
         self._clock = clock
-        self._memory = memory
+        self._account = account
         self._transport: asyncio.Transport | None = None
         self._reader: ResponseReader | None = None
         self._done: asyncio.Future[None] | None = None
         self._reusable = True
         # True until the first request is sent.
         self.is_new = True
+        self.progress_ms = clock.now()
 
     @classmethod
     async def connect(
-        cls, *, clock: Clock, host: str, port: int, memory: ResponseMemory
+        cls, *, clock: Clock, host: str, port: int, account: MemoryAccount
     ) -> HttpConnection:
         """Return an open connection to ``host`` and ``port``.
 
-        The bodies of incomplete responses count towards ``memory``.
+        The bodies of responses count towards ``account``.
 
         Raises:
             OSError: the target is unreachable or refuses the connection.
         """
         loop = asyncio.get_running_loop()
         _, conn = await loop.create_connection(
-            lambda: cls(clock=clock, memory=memory), host, port
+            lambda: cls(clock=clock, account=account), host, port
         )
         return conn
 
@@ -88,14 +92,26 @@
         """Return True if another request can be sent on this connection."""
         return self._reusable
 
-    async def exchange(
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of the body that arrives."""
+        return 0 if self._reader is None else len(self._reader.body)
+
+    def drop(self) -> None:
+        """Give up the response that arrives."""
+        self.fail(
+            TargetProtocolError('the node has no memory for the response')
+        )
+
+    async def exchange(  # noqa: WPS211 - what belongs to one exchange
         self,
-        request: bytes,
+        head: bytes,
+        body: Body,
         remaining_ms: float,
         matcher: ResponseMatcher | None = None,
         on_head: HeadObserver | None = None,
     ) -> Response:
-        """Send an encoded request and return the complete response.
+        """Send an encoded head and a body; return the complete response.
 
         With ``matcher`` responses to other requests are discarded. Without it
         a second response is an error if it arrives together with the first,
@@ -115,13 +131,14 @@
         reader = ResponseReader(
             matcher=matcher,
             on_head=on_head,
-            on_size=partial(self._memory.hold, self),
+            create_buffer=partial(HeldBuffer, account=self._account),
+            holder=self,
         )
-        self._memory.begin(self)
+        self._account.add_holder(self)
         done = self._clock.loop().create_future()
         self._reader = reader
         self._done = done
-        self._transport.write(request)
+        self._transport.writelines((head, body) if body else (head,))
         timer = self._clock.call_later(
             remaining_ms, lambda: self.fail(TimeoutError())
         )
@@ -131,7 +148,7 @@
         finally:
             # The exception of a future refers to this frame, which would keep
             # the request until a cyclic collection.
-            del done
+            del done, body
             self._end_exchange(reader, timer)
         self._reusable = (
             reader.keep_alive
@@ -161,6 +178,7 @@
             # the response to the next request.
             self.close()
             return
+        self.progress_ms = self._clock.now()
         try:
             reader.feed(received)
         except TargetProtocolError as exc:
@@ -199,7 +217,7 @@
         timer.cancel()
         self._done = None
         self._reader = None
-        self._memory.release(self)
+        self._account.remove_holder(self)
         reader.close()
 
     def _finish(self) -> None:
--- a/src/savorystand/gateway/response_reader.py
+++ b/src/savorystand/gateway/response_reader.py
@@ -12,19 +12,21 @@
 from savorystand.call import Response
 from savorystand.gateway.errors import TargetProtocolError
 from savorystand.gateway.headers import header_name
+from savorystand.memory.buffer import HeldBuffer
+from savorystand.memory.errors import MemoryShortError
 from savorystand.transport.conversion import MAX_BODY_BYTES
 
 if TYPE_CHECKING:
     from savorystand.call import Headers
+    from savorystand.memory.holder import Holder
 
 # Function that returns True if headers are those of the response to the request
 # in progress.
 ResponseMatcher: TypeAlias = Callable[['Headers'], bool]
 # Function that gets the status and headers of each final response.
 HeadObserver: TypeAlias = Callable[[int, 'Headers'], None]
-# Function that gets the size of each part of a body, and the negative size of a
-# body that is dropped.
-SizeObserver: TypeAlias = Callable[[int], None]
+# Function that returns an empty buffer for a body.
+BufferFactory: TypeAlias = Callable[[], HeldBuffer]
 
 _MAX_HEADER_BYTES = 65536
 _MIN_FINAL_STATUS = 200
@@ -41,9 +43,10 @@
     """
 
     __slots__ = (
+        '_create_buffer',
+        '_holder',
         '_matcher',
         '_on_head',
-        '_on_size',
         '_other_responses',
         '_parser',
         '_unparsed_bytes',
@@ -61,12 +64,17 @@
         *,
         matcher: ResponseMatcher | None,
         on_head: HeadObserver | None,
-        on_size: SizeObserver,
+        create_buffer: BufferFactory,
+        holder: Holder,
     ) -> None:
-        """Read a response; see ``HttpConnection.exchange``."""
+        """Read a response; see ``HttpConnection.exchange``.
+
+        ``holder`` holds the buffers that ``create_buffer`` returns.
+        """
         self._matcher = matcher
         self._on_head = on_head
-        self._on_size = on_size
+        self._create_buffer = create_buffer
+        self._holder = holder
         self._parser = HttpResponseParser(self)
         self._other_responses = 0
         # Bytes received since the parser completed the headers or passed on a
@@ -79,7 +87,7 @@
         self.headers: list[tuple[str, str]] = []
         # In one piece: a chunked body may have parts of one byte, each of which
         # would take the memory of an object.
-        self.body = bytearray()
+        self.body = create_buffer()
         self.status = 0
         self.complete = False
         self.keep_alive = False
@@ -139,8 +147,12 @@
             raise TargetProtocolError(
                 f'body of the response exceeds {MAX_BODY_BYTES} bytes'
             )
-        self._on_size(len(body))
-        self.body += body
+        try:
+            self.body.add(body, self._holder)
+        except MemoryShortError as exc:
+            raise TargetProtocolError(
+                f'the node has no memory for the response: {exc}'
+            ) from exc
 
     def on_message_complete(self) -> None:
         """Finish, unless the response is an interim or a late one."""
@@ -181,7 +193,7 @@
         return Response(
             status=self.status,
             headers=tuple(self.headers),
-            body=bytes(self.body),
+            body=self.body,
         )
 
     def close(self) -> None:
@@ -192,7 +204,7 @@
         """
         del self._parser
         self.headers.clear()
-        self.body.clear()
+        del self.body
 
     def _matches_request(self) -> bool:
         return self._matcher is None or self._matcher(tuple(self.headers))
@@ -204,7 +216,6 @@
                 f'more than {_MAX_OTHER_RESPONSES} responses before that to '
                 'the request'
             )
-        self._on_size(-len(self.body))
         self.headers.clear()
-        self.body.clear()
+        self.body = self._create_buffer()
         self.headers_complete = False
--- a/src/savorystand/gateway/responses.py
+++ b/src/savorystand/gateway/responses.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
+from typing import final
+
+from savorystand.memory.buffer import HeldBuffer
 
 if TYPE_CHECKING:
+    from savorystand.call import Body
     from savorystand.gateway.asgi import HttpResponse
 
 _STATUS_LINE_BY_CODE = {  # noqa: WPS407
@@ -17,9 +22,21 @@
 )
 
 
+@final
+@dataclass(slots=True, kw_only=True)
+class EncodedResponse:
+    """The bytes of a response.
+
+    ``uncounted_bytes`` is the size of the parts that no memory account counts.
+    """
+
+    parts: tuple[Body, ...]
+    uncounted_bytes: int
+
+
 def encode_response(
     response: HttpResponse, *, close: bool, head_only: bool
-) -> bytes:
+) -> EncodedResponse:
     """Return an encoded response.
 
     It has a content length, so that the client detects a truncated body, unless
@@ -41,7 +58,14 @@
     if head.count('\n') != len(lines) - 1:
         raise ValueError('a header of the response contains a line break')
     encoded = f'{head}\r\n\r\n'.encode('latin-1')
-    return encoded if head_only or without_body else encoded + response.body
+    if head_only or without_body or not response.body:
+        return EncodedResponse(parts=(encoded,), uncounted_bytes=len(encoded))
+    uncounted_bytes = len(encoded)
+    if not isinstance(response.body, HeldBuffer):
+        uncounted_bytes += len(response.body)
+    return EncodedResponse(
+        parts=(encoded, response.body), uncounted_bytes=uncounted_bytes
+    )
 
 
 def _status_line(status: int) -> str:
--- a/src/savorystand/gateway/server.py
+++ b/src/savorystand/gateway/server.py
@@ -35,6 +35,7 @@
 
 _START_POLL_SECONDS = 0.005
 _TIMEOUT_CHECK_SECONDS = 1
+_PAUSE_SECONDS = 2
 _CLOSE_INTERVAL_SECONDS = 0.05
 # Idle connections are closed after this time.
 KEEP_ALIVE_SECONDS = 5
@@ -74,7 +75,13 @@
 class HttpListener(Service):
     """HTTP listener on one or more addresses, based on ``uvicorn``."""
 
-    __slots__ = ('_addresses', '_app', '_finished', '_server')
+    __slots__ = (
+        '_addresses',
+        '_app',
+        '_finished',
+        '_receive_bytes',
+        '_server',
+    )
 
     def __init__(
         self,
@@ -86,13 +93,17 @@
         extra_addresses: tuple[Address, ...] = (),
         keep_alive_seconds: int = KEEP_ALIVE_SECONDS,
         protocol: type[asyncio.Protocol] = BoundedProtocol,
+        receive_bytes: int = 0,
     ) -> None:
         """Serve ``app`` on ``host`` and ``port``, with TLS if ``tls`` is set.
 
         It listens on ``extra_addresses`` too. ``protocol`` is the class of the
         connections, with the constructor of the protocols of ``uvicorn``.
+        ``receive_bytes`` is the size of the system's buffer for what each
+        connection receives, 0 for the default.
         """
         self._app = app
+        self._receive_bytes = receive_bytes
         self._addresses = (
             (host, port),
             *((address.host, address.port) for address in extra_addresses),
@@ -125,14 +136,24 @@
             OSError: an address cannot be bound.
         """
         socks = [bind_tcp(host, port) for host, port in self._addresses]
+        if self._receive_bytes:
+            for sock in socks:
+                # Accepted connections inherit the size.
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_bytes
+                )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._serve, socks)
             while not self._server.started:
                 await anyio.sleep(_START_POLL_SECONDS)
             task_status.started()
             while True:
+                started = anyio.current_time()
                 await anyio.sleep(_TIMEOUT_CHECK_SECONDS)
-                self._abort_timed_out_connections()
+                # After a pause of the process, what clients have sent meanwhile
+                # is read first.
+                if anyio.current_time() - started < _PAUSE_SECONDS:
+                    self._abort_timed_out_connections()
 
     def stop_accepting(self) -> None:
         """Stop accepting; close connections after their next response.
--- a/src/savorystand/gateway/target_client.py
+++ b/src/savorystand/gateway/target_client.py
@@ -10,8 +10,8 @@
 from savorystand.clock import MS_PER_SECOND
 from savorystand.gateway.errors import TargetProtocolError
 from savorystand.gateway.http_connection import HttpConnection
-from savorystand.gateway.response_memory import ResponseMemory
 from savorystand.gateway.target_adapter import ContextAdapter
+from savorystand.memory.account import MemoryAccount
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
@@ -49,12 +49,12 @@
     """
 
     __slots__ = (
+        '_account',
         '_adapter',
         '_clock',
         '_host',
         '_idle',
         '_may_start',
-        '_memory',
         '_port',
     )
 
@@ -65,20 +65,20 @@
         host: str,
         port: int,
         adapter: TargetAdapter | None = None,
-        memory: ResponseMemory | None = None,
+        account: MemoryAccount | None = None,
         may_start: Callable[[TargetBinding], bool] = _always,
     ) -> None:
         """Create a client of the target at ``host`` and ``port``.
 
         Without ``adapter`` the target uses the ``savorystand-*`` headers; see
-        ``ContextAdapter``. ``memory`` bounds the responses in progress.
+        ``ContextAdapter``. Bodies of responses count towards ``account``.
         ``may_start`` returns False once the target of a binding may get no
         further calls. It is asked right before the first byte is written.
         """
         self._clock = clock
         self._adapter = adapter or ContextAdapter(host=f'{host}:{port}')
         self._may_start = may_start
-        self._memory = memory or ResponseMemory()
+        self._account = account or MemoryAccount(clock=clock)
         self._host = host
         self._port = port
         # Time since when it is idle, id of its target, and the connection.
@@ -125,7 +125,8 @@
         # From here on the target may have received a part of the request.
         try:
             response = await conn.exchange(
-                _encode_request(call, headers),
+                _encode_head(call, headers),
+                call.body,
                 remaining_ms,
                 self._adapter.response_matcher(call, is_first=conn.is_new),
                 self._adapter.head_observer(call),
@@ -177,7 +178,7 @@
                 clock=self._clock,
                 host=self._host,
                 port=self._port,
-                memory=self._memory,
+                account=self._account,
             )
 
     def _release(self, conn: HttpConnection, binding: TargetBinding) -> None:
@@ -197,9 +198,9 @@
     )
 
 
-def _encode_request(call: Call, headers: Headers) -> bytes:
+def _encode_head(call: Call, headers: Headers) -> bytes:
     lines = [f'{name}: {text}' for name, text in headers]
     lines.insert(0, f'{call.method} {call.path} HTTP/1.1')
     lines.append(f'content-length: {len(call.body)}')
     lines.append('\r\n')
-    return '\r\n'.join(lines).encode('latin-1') + call.body
+    return '\r\n'.join(lines).encode('latin-1')
--- a/src/savorystand/lab/fuzz/target.py
+++ b/src/savorystand/lab/fuzz/target.py
@@ -64,7 +64,7 @@
 
     async def _connect(self, remaining_ms: float) -> HttpConnection:
         await anyio.sleep(0)
-        conn = HttpConnection(clock=self._clock, memory=self._memory)
+        conn = HttpConnection(clock=self._clock, account=self._account)
         self._target.connect_protocol(conn)
         return conn
 
--- a/src/savorystand/node/sidecar.py
+++ b/src/savorystand/node/sidecar.py
@@ -13,6 +13,7 @@
 from savorystand.dispatch.local_pool import LocalPool
 from savorystand.dispatch.parents import ParentInference
 from savorystand.dispatch.target_notices import TargetNotices
+from savorystand.gateway.idle_connections import caller_connections
 from savorystand.gateway.request_protocol import RequestProtocol
 from savorystand.gateway.server import HttpListener
 from savorystand.gateway.target_client import TargetClient
@@ -21,6 +22,7 @@
 from savorystand.membership.discovery import NodeDiscovery
 from savorystand.membership.membership import Membership
 from savorystand.membership.registration import Registration
+from savorystand.memory.account import MemoryAccount
 from savorystand.node.factories import dispatch_factories
 from savorystand.node.factories import policy_factories
 from savorystand.node.factories import state_factories
@@ -61,8 +63,11 @@
 # Interval between checks of the node's own load. A shorter one is not worth its
 # cost: each push goes to all callers, and responses carry the load anyway.
 _LOAD_CHECK_INTERVAL_MS = 200
-# The platform's clients keep idle connections for as long as the operators'
-# limits allow; the node must not close one before its client does.
+# Receive buffer of a connection of a caller. What the process has not read yet
+# counts towards its memory, on all of them together.
+_CALLER_RECEIVE_BYTES = 32768
+# The target and the platform keep connections for announcements and readiness
+# checks.
 _KEEP_ALIVE_TIMEOUT_SECONDS = 300
 # A feed request is given up after this time. Others are sent beside it before,
 # so it only bounds how slow a store may be that is still read.
@@ -81,11 +86,14 @@
         'clock': lambda kernel: Clock(),
         'network': lambda kernel: DirectNetwork(),
         'traffic': lambda kernel: traffic,
-        **state_factories(cfg.node, node_id),
         'log': lambda kernel: EventLog(
             clock=kernel.find('clock', Clock),
             node_id=node_id,
         ),
+        'memory': lambda kernel: MemoryAccount.for_process(
+            kernel, cfg.memory_mb
+        ),
+        **state_factories(cfg.node, node_id),
         'departures': lambda kernel: Departures(
             clock=kernel.find('clock', Clock),
             log=kernel.find('log', EventLog),
@@ -108,6 +116,7 @@
             host=cfg.node.target.host,
             port=cfg.node.target.port,
             adapter=WorkerAdapter(kernel=kernel),
+            account=kernel.find('memory', MemoryAccount),
             may_start=kernel.find('local pool', LocalPool).may_start,
         ),
         'parents': lambda kernel: ParentInference(kernel=kernel),
@@ -193,11 +202,15 @@
             keep_alive_seconds=_KEEP_ALIVE_TIMEOUT_SECONDS,
         ),
         'caller listener': lambda kernel: HttpListener(
-            app=Ingress(kernel=kernel, service=cfg.service),
+            app=Ingress(
+                kernel=kernel,
+                service=cfg.service,
+                max_connections=caller_connections(cfg.max_descriptors),
+            ),
             host=cfg.node.callers.host,
             port=cfg.node.callers.port,
-            keep_alive_seconds=_KEEP_ALIVE_TIMEOUT_SECONDS,
             protocol=RequestProtocol,
+            receive_bytes=_CALLER_RECEIVE_BYTES,
         ),
         'readiness': lambda kernel: SidecarShutdown(
             kernel=kernel, grace_ms=cfg.grace_ms
--- a/src/savorystand/node/sidecar_application.py
+++ b/src/savorystand/node/sidecar_application.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from savorystand.memory.allocator import tune_allocator
 from savorystand.node.identity import new_node_id
 from savorystand.node.sidecar import build_sidecar
 from savorystand.platform.settings import PATH_VARIABLE
@@ -44,6 +45,7 @@
         sys.stderr.write(f'error: {exc}\n')
         sys.exit(_EXIT_SETTINGS)
     _tune_garbage_collector()
+    tune_allocator()
     log_handler(stream=sys.stdout).push_application()
     anyio.run(_run, cfg, path, backend_options={'use_uvloop': True})
 
--- a/src/savorystand/platform/configuration.py
+++ b/src/savorystand/platform/configuration.py
@@ -12,6 +12,7 @@
 from savorystand.store.errors import HistoryLostError
 from savorystand.tables.document import TablesDocument
 from savorystand.tables.feed_reader import FeedPosition
+from savorystand.tables.limits import CallerLimits
 from savorystand.tables.pool import Pool
 from savorystand.tables.route import PoolShare
 from savorystand.tables.route import Route
@@ -31,6 +32,12 @@
 # Requests of this kind run at most once per client attempt. Requests of the
 # other kinds, ``safe`` and ``download``, may be repeated.
 _NON_IDEMPOTENT_KIND = 'non_idempotent'
+_LIMIT_NAMES = (
+    ('maxHeaderBytes', 'header_bytes'),
+    ('maxBodyBytes', 'body_bytes'),
+    ('headerTimeoutMs', 'head_ms'),
+    ('idleTimeoutMs', 'idle_ms'),
+)
 _PARSE_ERRORS = (
     AttributeError,
     IndexError,
@@ -117,6 +124,7 @@
                 for path in host['paths']
             ),
             pools=tuple(_parse_pool(service) for service in fields['services']),
+            limits=_parse_limits(fields.get('limits') or {}),
         )
     except _PARSE_ERRORS as exc:
         raise ValueError(f'malformed configuration: {exc!r}') from exc
@@ -191,6 +199,17 @@
     return text
 
 
+def _parse_limits(fields: dict[str, Any]) -> CallerLimits:
+    limits = {
+        name: int(fields[field])
+        for field, name in _LIMIT_NAMES
+        if fields.get(field)
+    }
+    if any(limit <= 0 for limit in limits.values()):
+        raise ValueError('a limit on callers is negative')
+    return CallerLimits(**limits)
+
+
 def _parse_pool(fields: dict[str, Any]) -> Pool:
     # The number of slots comes with the announcements of each target.
     return Pool(
--- a/src/savorystand/platform/ingress.py
+++ b/src/savorystand/platform/ingress.py
@@ -18,7 +18,9 @@
 from savorystand.gateway.asgi import HttpResponse
 from savorystand.gateway.contexts import Request
 from savorystand.gateway.contexts import parse_deadline_ms
+from savorystand.gateway.protocol import MAX_CONNECTIONS
 from savorystand.gateway.refusals import refusal_body
+from savorystand.memory.account import find_memory
 from savorystand.platform import headers as header_names
 from savorystand.reporting.events import request_refused
 from savorystand.reporting.logs import EventLog
@@ -33,6 +35,7 @@
 if TYPE_CHECKING:
     from savorystand.call import Outcome
     from savorystand.kernel.kernel import Kernel
+    from savorystand.tables.limits import CallerLimits
     from savorystand.tables.route import Route
     from savorystand.tables.tables import Tables
 
@@ -74,10 +77,17 @@
         '_tables',
         'clock',
         'closing',
-        'unfinished_bytes',
+        'max_connections',
+        'memory',
     )
 
-    def __init__(self, *, kernel: Kernel, service: str) -> None:
+    def __init__(
+        self,
+        *,
+        kernel: Kernel,
+        service: str,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
         """Serve requests of ``service``, unless the target names another."""
         self.clock = kernel.find('clock', Clock)
         self._log = kernel.find('log', EventLog)
@@ -88,10 +98,15 @@
         self._service = service
         self.closing = False
         self._serve_until_ms = math.inf
-        # Bytes received of request bodies that are still incomplete.
-        self.unfinished_bytes = 0
+        self.memory = find_memory(kernel, self.clock)
+        self.max_connections = max_connections
         self._splits = SplitChooser()
 
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits of the configuration in force."""
+        return self._tables.current().limits
+
     def close_connections(self) -> None:
         """Make each further response ask the client to close.
 
--- a/src/savorystand/platform/settings.py
+++ b/src/savorystand/platform/settings.py
@@ -54,7 +54,8 @@
     A draining target may be given work for ``drain_ms`` milliseconds. A
     process is killed ``grace_ms`` milliseconds after it was told to stop.
     Retries of all nodes together may number ``retry_fraction`` of all requests
-    plus ``retry_slack``.
+    plus ``retry_slack``. The process may use ``memory_mb`` megabytes and
+    ``max_descriptors`` descriptors.
     """
 
     node: NodeSettings
@@ -67,6 +68,8 @@
     grace_ms: float
     retry_fraction: float
     retry_slack: float
+    memory_mb: float = 300
+    max_descriptors: int = 4096
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -94,6 +97,7 @@
     # Peers use the first port of the range, over TCP and UDP.
     peer_port = operator.index(fields['portRange'][0])
     bounds = _parse_bounds(fields.get('bounds', ()))
+    limits = {'memoryMb': 300, 'maxFds': 4096} | fields.get('limits', {})
     return PlatformSettings(
         node=NodeSettings(
             failure_domain=str(fields['zone']),
@@ -122,6 +126,8 @@
         grace_ms=bounds['graceS'] * MS_PER_SECOND,
         retry_fraction=bounds['retryBudgetRatio'],
         retry_slack=bounds['budgetSlack'],
+        memory_mb=float(limits['memoryMb']),
+        max_descriptors=operator.index(limits['maxFds']),
     )
 
 
--- a/src/savorystand/tables/tables.py
+++ b/src/savorystand/tables/tables.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 from typing import final
 
+from savorystand.tables.limits import CallerLimits
+
 if TYPE_CHECKING:
     from savorystand.tables.pool import Pool
     from savorystand.tables.route import Route
@@ -15,7 +17,7 @@
 @final
 @dataclass(slots=True, kw_only=True)
 class Tables:
-    """Routes and pools of one revision, with indexes for lookup.
+    """Routes, pools and limits of one revision, with indexes for lookup.
 
     ``revision`` is 0 for the empty tables of a node that has none yet.
     """
@@ -24,6 +26,7 @@
     change_id: str
     routes: tuple[Route, ...]
     pools: tuple[Pool, ...]
+    limits: CallerLimits = field(default_factory=CallerLimits)
     _by_match: dict[tuple[str, str], Route] = field(init=False, repr=False)
     _by_name: dict[str, Route] = field(init=False, repr=False)
     _by_host: dict[str, dict[str, Route]] = field(init=False, repr=False)
--- a/src/savorystand/transport/assembly.py
+++ b/src/savorystand/transport/assembly.py
@@ -4,42 +4,90 @@
 
 from typing import TYPE_CHECKING
 
+from savorystand.clock import Clock
+from savorystand.memory.account import MemoryAccount
+from savorystand.memory.buffer import HeldBuffer
 from savorystand.transport.conversion import CHUNK_BYTES
-from savorystand.transport.conversion import MAX_BODY_BYTES
 from savorystand.wire.errors import FrameError
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable
 
+    from savorystand.call import Body
     from savorystand.wire.codec import Message
 
-# Bound on the received bytes of incomplete bodies on one connection. Above it,
-# new calls are refused, while those in progress continue.
-MAX_UNFINISHED_BYTES = 268435456
+# Longest body that a peer may announce. Whether there is room for it, only the
+# account of the node tells.
+_MAX_ANNOUNCED_BYTES = 2147483647
+
+
+def _ignore() -> None:
+    """Do nothing: the body does not give way any more."""
 
 
 class BodyAssembly:
     """A message body of which only some chunks have arrived.
 
     ``start`` is the ``CallStart`` or ``AnswerStart`` that announced the body.
+    It is a holder of the account from its creation until ``close``.
     """
 
-    __slots__ = ('_parts', 'received_bytes', 'start')
-
-    def __init__(self, *, start: Message) -> None:
+    __slots__ = (
+        '_account',
+        '_body',
+        '_on_drop',
+        'progress_ms',
+        'start',
+    )
+
+    def __init__(
+        self,
+        *,
+        start: Message,
+        account: MemoryAccount | None = None,
+        on_drop: Callable[[], None] = _ignore,
+    ) -> None:
         """Store the first chunk, which the opening frame carries.
 
+        Room for the whole body is taken at once. ``on_drop`` is called if it
+        has to give way before it is complete.
+
         Raises:
             FrameError: the announced size is out of bounds.
+            MemoryShortError: there is no room for the body.
         """
-        if not 0 <= start.body_size <= MAX_BODY_BYTES:
+        if not 0 <= start.body_size <= _MAX_ANNOUNCED_BYTES:
             raise FrameError(
-                f'body size {start.body_size} is not in 0 to {MAX_BODY_BYTES}'
+                f'body size {start.body_size} is not in 0 to '
+                f'{_MAX_ANNOUNCED_BYTES}'
             )
         self.start = start
-        self._parts = [start.body]
-        # Body bytes that have arrived so far.
-        self.received_bytes = len(start.body)
+        self._account = account or MemoryAccount(clock=Clock())
+        self._on_drop = on_drop
+        self._body = HeldBuffer(account=self._account, expected=start.body_size)
+        self._body.add(start.body)
+        self.progress_ms = self._account.now()
+        self._account.add_holder(self)
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the announced size of the body."""
+        size: int = self.start.body_size
+        return size
+
+    def drop(self) -> None:
+        """Give way to others."""
+        on_drop = self._on_drop
+        self.close()
+        on_drop()
+
+    def close(self) -> None:
+        """Let go of the body: it has been passed on, or is not wanted."""
+        self._account.remove_holder(self)
+        # The owner refers to this object, so that both would stay in memory
+        # until a cyclic collection.
+        self._on_drop = _ignore
+        self._body = HeldBuffer(account=self._account)
 
     def add(self, chunk: Message) -> bool:
         """Append a chunk and return True if it is the last one.
@@ -53,21 +101,23 @@
             raise FrameError(
                 f'chunk of {len(chunk.body)} bytes before the last one'
             )
-        self._parts.append(chunk.body)
-        self.received_bytes += len(chunk.body)
-        if self.received_bytes > self.start.body_size:
+        if len(self._body) + len(chunk.body) > self.start.body_size:
             raise FrameError('body exceeds its announced size')
+        self._body.add(chunk.body)
+        self.progress_ms = self._account.now()
         return bool(chunk.last)
 
-    def joined_body(self) -> bytes:
+    def joined_body(self) -> Body:
         """Return the complete body.
 
         Raises:
             FrameError: fewer bytes than announced have arrived.
         """
-        if self.received_bytes != self.start.body_size:
+        if len(self._body) != self.start.body_size:
             raise FrameError('body ends before its announced size')
-        return b''.join(self._parts)
+        body = self._body
+        self.close()
+        return body
 
 
 def complete_body(start: Message) -> bytes | None:
@@ -83,12 +133,3 @@
         raise FrameError('body length differs from its announced size')
     body: bytes = start.body
     return body
-
-
-def accepts_new_body(unfinished: Iterable[BodyAssembly]) -> bool:
-    """Return True if a connection may begin to receive another body.
-
-    ``unfinished`` are the incomplete bodies of the connection.
-    """
-    received_bytes = sum(assembly.received_bytes for assembly in unfinished)
-    return received_bytes <= MAX_UNFINISHED_BYTES
--- a/src/savorystand/transport/connection.py
+++ b/src/savorystand/transport/connection.py
@@ -23,6 +23,7 @@
 
 from savorystand.clock import MS_PER_SECOND
 from savorystand.clock import Clock
+from savorystand.memory.account import MemoryAccount
 from savorystand.transport.conversion import CHUNK_BYTES
 from savorystand.transport.conversion import call_frame
 from savorystand.transport.direct import pump
@@ -96,10 +97,11 @@
         on_load: Callable[[TargetLoad], None],
         on_control: ControlCallback,
         on_frame: FrameObserver | None = None,
+        account: MemoryAccount | None = None,
     ) -> None:
         """Create the client side; ``run`` attaches it to a byte stream.
 
-        ``on_load`` gets load reports. ``on_control`` gets control frames: all
+        Bodies of responses count towards ``account``. ``on_load`` gets load reports. ``on_control`` gets control frames: all
         frames that are no load report, no pong and no part of a response or
         refusal. ``on_frame`` gets each frame that is sent or received, and its
         encoded length.
@@ -107,7 +109,10 @@
         self._clock = clock
         self._on_frame = on_frame
         self._on_control = on_control
-        self._pending = PendingCalls(on_load=on_load)
+        self._pending = PendingCalls(
+            on_load=on_load,
+            account=account or MemoryAccount(clock=clock),
+        )
         self._writer = FrameWriter(on_frame=on_frame)
         self._last_received_ms = clock.now()
         self._pong_received = anyio.Event()
@@ -254,7 +259,7 @@
 
     def _end_call(self, stream_id: int, pending: PendingCall) -> None:
         self._pending.close(stream_id)
-        if pending.outcome is None:
+        if pending.outcome is None or pending.given_up:
             self.send(ttypes.Frame(cancel=ttypes.Cancel(stream=stream_id)))
 
     def _handle_bytes(self, received: bytes) -> None:
--- a/src/savorystand/transport/conversion.py
+++ b/src/savorystand/transport/conversion.py
@@ -28,13 +28,14 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from savorystand.call import Body
     from savorystand.tables.route import Route
     from savorystand.wire.codec import Message
 
 # Part of a body that one frame carries.
 CHUNK_BYTES = 16384
-# Longest body of a request or response that a node holds in memory.
-MAX_BODY_BYTES = 16777216
+# Longest body of a response of the target.
+MAX_BODY_BYTES = 67108864
 # Largest retry budget that is accepted from a peer.
 _MAX_RETRIES = 8
 # Looking a rank up here takes a tenth of the time of ``Importance(rank)``.
@@ -45,7 +46,7 @@
 
 def call_frame(call: Call, stream_id: int, now: float) -> Message:
     """Return the opening frame of a call with the first chunk of its body."""
-    body = call.body[:CHUNK_BYTES]
+    body = bytes(call.body[:CHUNK_BYTES])
     return ttypes.Frame(
         call=ttypes.CallStart(
             stream=stream_id,
@@ -66,20 +67,20 @@
     )
 
 
-def chunk_frames(body: bytes, stream_id: int) -> Iterator[Message]:
+def chunk_frames(body: Body, stream_id: int) -> Iterator[Message]:
     """Yield the frames of all chunks of a body but the first."""
     for start in range(CHUNK_BYTES, len(body), CHUNK_BYTES):
         end = start + CHUNK_BYTES
         yield ttypes.Frame(
             chunk=ttypes.BodyChunk(
                 stream=stream_id,
-                body=body[start:end],
+                body=bytes(body[start:end]),
                 last=end >= len(body),
             ),
         )
 
 
-def decode_call(start: Message, route: Route, body: bytes, now: float) -> Call:
+def decode_call(start: Message, route: Route, body: Body, now: float) -> Call:
     """Return the call of an opening frame and its complete body.
 
     Raises:
@@ -104,7 +105,7 @@
 
 def response_frame(response: Response, stream_id: int) -> Message:
     """Return the opening frame of a response with its first chunk."""
-    body = response.body[:CHUNK_BYTES]
+    body = bytes(response.body[:CHUNK_BYTES])
     return ttypes.Frame(
         answer=ttypes.AnswerStart(
             stream=stream_id,
@@ -119,7 +120,7 @@
     )
 
 
-def decode_response(start: Message, body: bytes) -> Response:
+def decode_response(start: Message, body: Body) -> Response:
     """Return the response of an opening frame and its complete body."""
     return Response(
         status=start.status,
--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -11,6 +11,7 @@
 from savorystand.clock import MS_PER_SECOND
 from savorystand.clock import Clock
 from savorystand.kernel.service import Service
+from savorystand.memory.account import find_memory
 from savorystand.transport.connecting import CONNECT_TIMEOUT_MS
 from savorystand.transport.connecting import PeerConnector
 from savorystand.transport.connection import PeerConnection
@@ -52,6 +53,7 @@
     """Keeps one outbound connection per peer and serves inbound connections."""
 
     __slots__ = (
+        '_account',
         '_clock',
         '_connections',
         '_connector',
@@ -68,6 +70,7 @@
         """Create the transport; ``run`` listens on ``host`` and ``port``."""
         self._kernel = kernel
         self._clock = kernel.find('clock', Clock)
+        self._account = find_memory(kernel, self._clock)
         self._host = host
         self._port = port
         self._connections = OutboundConnections()
@@ -177,6 +180,7 @@
                 peer, frame
             ),
             on_frame=self._meter.observer(peer),
+            account=self._account,
         )
         self._connections.replace(peer, conn)
         self._tasks.start_soon(_run_contained, conn, stream)
@@ -200,6 +204,7 @@
             clock=self._clock,
             inbound=self._kernel.find('inbound', InboundHandler),
             control=self._kernel.find('control', ControlResponder),
+            account=self._account,
         )
         self._inbound_connections.add(conn)
         try:
--- a/src/savorystand/transport/pending.py
+++ b/src/savorystand/transport/pending.py
@@ -8,6 +8,7 @@
 from expression import Error
 
 from savorystand.call import Answered
+from savorystand.memory.errors import MemoryShortError
 from savorystand.transport.assembly import BodyAssembly
 from savorystand.transport.assembly import complete_body
 from savorystand.transport.conversion import decode_refusal
@@ -24,13 +25,14 @@
 
     from savorystand.call import Outcome
     from savorystand.call import TargetLoad
+    from savorystand.memory.account import MemoryAccount
     from savorystand.wire.codec import Message
 
 
 class PendingCall:
     """A call whose response has not arrived completely."""
 
-    __slots__ = ('assembly', 'begun', 'done', 'outcome')
+    __slots__ = ('assembly', 'begun', 'done', 'given_up', 'outcome')
 
     def __init__(self, done: asyncio.Future[None]) -> None:
         """Create a call without a response; its caller awaits ``done``."""
@@ -39,6 +41,8 @@
         self.assembly: BodyAssembly | None = None
         # True once the peer has sent anything but a refusal for the call.
         self.begun = False
+        # True once this node does not want the response any more.
+        self.given_up = False
         self.outcome: Outcome | None = None
 
     def finish(self, outcome: Outcome) -> None:
@@ -47,6 +51,21 @@
             self.outcome = outcome
         self.wake()
 
+    def give_up(self) -> None:
+        """Finish without the response, for which there is no memory."""
+        self.given_up = True
+        refusal = MayHaveRun(
+            reason=Reason.CANCELLED,
+            detail='the node has no memory for the response',
+        )
+        self.finish(Error(refusal))
+
+    def close_assembly(self) -> None:
+        """Let go of an incomplete response."""
+        if self.assembly is not None:
+            self.assembly.close()
+            self.assembly = None
+
     def wake(self) -> None:
         """Wake the caller, whether or not there is an outcome."""
         if not self.done.done():
@@ -60,14 +79,21 @@
     and never reaches another caller.
     """
 
-    __slots__ = ('_calls', '_on_load', '_stream_ids')
+    __slots__ = ('_account', '_calls', '_on_load', '_stream_ids')
 
-    def __init__(self, *, on_load: Callable[[TargetLoad], None]) -> None:
+    def __init__(
+        self,
+        *,
+        on_load: Callable[[TargetLoad], None],
+        account: MemoryAccount,
+    ) -> None:
         """Create an empty set of calls.
 
         ``on_load`` gets the load reports of pushes and refusals. A response
-        carries its load report in the outcome.
+        carries its load report in the outcome. Long bodies count towards
+        ``account``.
         """
+        self._account = account
         self._calls: dict[int, PendingCall] = {}
         self._stream_ids = itertools.count(1)
         self._on_load = on_load
@@ -85,7 +111,9 @@
 
     def close(self, stream_id: int) -> None:
         """Remove a call; frames that still arrive for it are dropped."""
-        self._calls.pop(stream_id, None)
+        pending = self._calls.pop(stream_id, None)
+        if pending is not None:
+            pending.close_assembly()
 
     def handle_frame(self, frame: Message) -> bool:
         """Process a frame of a call or a load report; return False for others.
@@ -122,10 +150,17 @@
             return
         pending.begun = True
         body = complete_body(start)
-        if body is None:
-            pending.assembly = BodyAssembly(start=start)
-        else:
+        if body is not None:
             pending.finish(Answered(decode_response(start, body)))
+            return
+        try:
+            pending.assembly = BodyAssembly(
+                start=start,
+                account=self._account,
+                on_drop=pending.give_up,
+            )
+        except MemoryShortError:
+            pending.give_up()
 
     def add_chunk(self, chunk: Message) -> None:
         """Process a further chunk of a response.
@@ -138,7 +173,7 @@
             return
         pending.begun = True
         assembly = pending.assembly
-        if assembly is None:
+        if assembly is None or pending.given_up:
             return
         if assembly.add(chunk):
             response = decode_response(assembly.start, assembly.joined_body())
--- a/src/savorystand/transport/server.py
+++ b/src/savorystand/transport/server.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
 from expression import Result
 from logbook import Logger
 
-from savorystand.transport.assembly import BodyAssembly
-from savorystand.transport.assembly import accepts_new_body
+from savorystand.memory.account import MemoryAccount
+from savorystand.memory.errors import MemoryShortError
 from savorystand.transport.assembly import complete_body
 from savorystand.transport.connection import MAX_STREAMS
 from savorystand.transport.conversion import CHUNK_BYTES
@@ -18,6 +20,7 @@
 from savorystand.transport.conversion import response_frame
 from savorystand.transport.direct import pump
 from savorystand.transport.errors import STREAM_ERRORS
+from savorystand.transport.incoming_calls import IncomingCalls
 from savorystand.transport.writer import FrameWriter
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import Reason
@@ -32,6 +35,7 @@
 
     from anyio.abc import ByteStream
 
+    from savorystand.call import Body
     from savorystand.call import Call
     from savorystand.call import Outcome
     from savorystand.clock import Clock
@@ -39,17 +43,18 @@
     from savorystand.transport.inbound import InboundHandler
 
 _log = Logger('savorystand')
+_MEMORY_RETRY_AFTER_MS = 1000
 
 
 class ServerConnection:
     """Serves the calls of one peer, each in a task of its own."""
 
     __slots__ = (
-        '_assemblies',
         '_clock',
         '_control',
         '_frame_buffer',
         '_inbound',
+        '_incoming',
         '_calls',
         '_writer',
     )
@@ -60,14 +65,20 @@
         clock: Clock,
         inbound: InboundHandler,
         control: ControlResponder,
+        account: MemoryAccount | None = None,
     ) -> None:
-        """Create the server side; ``run`` attaches it to a byte stream."""
+        """Create the server side; ``run`` attaches it to a byte stream.
+
+        Calls in progress and their bodies count towards ``account``.
+        """
         self._clock = clock
         self._inbound = inbound
         self._control = control
         self._frame_buffer = FrameBuffer()
         self._writer = FrameWriter()
-        self._assemblies: dict[int, BodyAssembly] = {}
+        self._incoming = IncomingCalls(
+            account=account or MemoryAccount(clock=clock)
+        )
         self._calls: dict[int, asyncio.Task[None]] = {}
 
     async def run(self, stream: ByteStream) -> None:
@@ -79,10 +90,11 @@
                 tasks.cancel_scope.cancel()
         except* STREAM_ERRORS:
             # The peer detects the loss itself and fails its pending calls.
-            self._assemblies.clear()
+            self._incoming.close()
         finally:
             for task in self._calls.values():
                 task.cancel()
+            self._incoming.close()
 
     def send(self, encoded: bytes) -> None:
         """Queue an encoded control frame."""
@@ -94,60 +106,67 @@
 
     def _handle_bytes(self, received: bytes) -> None:
         for frame in self._frame_buffer.feed(received):
-            self._handle_frame(frame)
+            self._handle_call_frame(frame)
 
-    def _handle_frame(self, frame: Message) -> None:
+    def _handle_call_frame(self, frame: Message) -> None:
         if frame.call is not None:
             self._receive_call(frame.call)
         elif frame.chunk is not None:
-            self._add_chunk(frame.chunk)
+            completed = self._incoming.add(frame.chunk)
+            if completed is not None:
+                self._start_call(*completed)
         elif frame.cancel is not None:
             self._cancel(frame.cancel.stream)
-        elif frame.ping is not None:
-            pong = ttypes.Pong(sequence=frame.ping.sequence)
-            self._writer.send(ttypes.Frame(pong=pong))
         else:
-            self._answer_control(frame)
+            self._handle_control_frame(frame)
 
-    def _answer_control(self, frame: Message) -> None:
+    def _handle_control_frame(self, frame: Message) -> None:
+        if frame.ping is not None:
+            pong = ttypes.Pong(sequence=frame.ping.sequence)
+            self._writer.send(ttypes.Frame(pong=pong))
+            return
         response = self._control.answer(frame)
         if response is not None:
             self._writer.send(response)
 
     def _receive_call(self, start: Message) -> None:
-        stream_count = len(self._calls) + len(self._assemblies)
-        at_capacity = stream_count >= MAX_STREAMS or (
-            self._assemblies and not accepts_new_body(self._assemblies.values())
-        )
-        if at_capacity or start.stream in self._calls:
+        stream_count = len(self._calls) + len(self._incoming)
+        if stream_count >= MAX_STREAMS or start.stream in self._calls:
             self._refuse(start.stream, _undispatched(start, Reason.OVERLOADED))
             return
         body = complete_body(start)
-        if body is None:
-            self._assemblies[start.stream] = BodyAssembly(start=start)
-        else:
+        if body is not None:
             self._start_call(start, body)
-
-    def _add_chunk(self, chunk: Message) -> None:
-        assembly = self._assemblies.get(chunk.stream)
-        if assembly is not None and assembly.add(chunk):
-            del self._assemblies[chunk.stream]
-            self._start_call(assembly.start, assembly.joined_body())
+            return
+        refuse = partial(self._refuse, start.stream, _memory_refusal(start))
+        try:
+            self._incoming.begin(start, refuse)
+        except MemoryShortError:
+            refuse()
 
     def _cancel(self, stream_id: int) -> None:
-        self._assemblies.pop(stream_id, None)
+        self._incoming.forget(stream_id)
         task = self._calls.get(stream_id)
         if task is not None:
             task.cancel()
             # A task that has not started yet never gets to its own clean-up.
-            task.add_done_callback(lambda _: self._calls.pop(stream_id, None))
+            task.add_done_callback(lambda _: self._end_call(stream_id))
 
-    def _start_call(self, start: Message, body: bytes) -> None:
+    def _end_call(self, stream_id: int) -> None:
+        self._calls.pop(stream_id, None)
+        self._incoming.end(stream_id)
+
+    def _start_call(self, start: Message, body: Body) -> None:
         route = self._inbound.route(start.route)
         if route is None:
             self._refuse(start.stream, _undispatched(start, Reason.NO_ROUTE))
             return
         call = decode_call(start, route, body, self._clock.now())
+        try:
+            self._incoming.count(start.stream, body)
+        except MemoryShortError:
+            self._refuse(start.stream, _memory_refusal(start))
+            return
         # An asyncio task costs a tenth of an anyio task, which has a cancel
         # scope.
         self._calls[start.stream] = self._clock.loop().create_task(
@@ -170,9 +189,9 @@
             _log.exception('event=call_failed route={}', call.route.name)
             self._refuse(stream_id, MayHaveRun(reason=Reason.TARGET_FAILED))
         finally:
-            self._calls.pop(stream_id, None)
+            self._end_call(stream_id)
 
-    def _send_outcome(self, stream_id: int, outcome: Outcome) -> bytes:
+    def _send_outcome(self, stream_id: int, outcome: Outcome) -> Body:
         # Returns the body; its first chunk is sent, the others are not.
         match outcome:
             case Result(tag='ok', ok=response):
@@ -194,3 +213,12 @@
     return refuse_undispatched(
         reason, detail=start.route, no_earlier_run=no_earlier_run
     )
+
+
+def _memory_refusal(start: Message) -> Refusal:
+    # Another node of the pool may have room.
+    return replace(
+        _undispatched(start, Reason.UNAVAILABLE),
+        detail='the node has no memory for the call',
+        retry_after_ms=_MEMORY_RETRY_AFTER_MS,
+    )
--- a/src/savorystand/transport/writer.py
+++ b/src/savorystand/transport/writer.py
@@ -18,6 +18,8 @@
 
     from anyio.abc import ByteSendStream
 
+    from savorystand.call import Body
+
 FrameObserver: TypeAlias = 'Callable[[Message, int], None]'
 
 # Bound on the queued chunks of one connection, so that an upload waits at its
@@ -75,7 +77,7 @@
 
     async def send_remaining_chunks(
         self,
-        body: bytes,
+        body: Body,
         stream_id: int,
         ended: Callable[[], bool] = _never_ended,
     ) -> None:
--- a/tests/gateway/test_cut_responses.py
+++ b/tests/gateway/test_cut_responses.py
@@ -14,10 +14,11 @@
 from savorystand.clock import ManualClock
 from savorystand.gateway.errors import TargetProtocolError
 from savorystand.gateway.http_connection import HttpConnection
-from savorystand.gateway.response_memory import ResponseMemory
+from savorystand.memory.account import MemoryAccount
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Iterable
 
     from savorystand.call import Headers
 
@@ -41,7 +42,7 @@
     def get_extra_info(self, name: str) -> _Socket:
         return _Socket()
 
-    def write(self, sent: bytes) -> None:
+    def writelines(self, sent: Iterable[bytes]) -> None:
         """Drop the request."""
 
     def is_closing(self) -> bool:
@@ -57,18 +58,20 @@
 
 async def _body_of(sent: bytes, end: Exception | None) -> bytes | None:
     """Return the body that a caller gets, None if the exchange fails."""
-    conn = HttpConnection(clock=ManualClock(), memory=ResponseMemory())
+    conn = HttpConnection(
+        clock=ManualClock(), account=MemoryAccount(clock=ManualClock())
+    )
     transport: asyncio.BaseTransport = _Transport()  # type: ignore[assignment]
     conn.connection_made(transport)
     bodies: list[bytes | None] = []
 
     async def exchange() -> None:
         try:
-            response = await conn.exchange(b'', 1000, _echoes_request)
+            response = await conn.exchange(b'', b'', 1000, _echoes_request)
         except (OSError, TargetProtocolError):
             bodies.append(None)
         else:
-            bodies.append(response.body)
+            bodies.append(bytes(response.body))
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(exchange)
--- a/tests/gateway/test_request_protocol.py
+++ b/tests/gateway/test_request_protocol.py
@@ -20,6 +20,8 @@
 from savorystand.gateway.asgi import HttpResponse
 from savorystand.lab.corpus.cases import Kind
 from savorystand.lab.corpus.cases import load_cases
+from savorystand.memory.account import MemoryAccount
+from savorystand.tables.limits import CallerLimits
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -39,7 +41,9 @@
     def __init__(self) -> None:
         self.clock = Clock()
         self.closing = False
-        self.unfinished_bytes = 0
+        self.memory = MemoryAccount(clock=self.clock)
+        self.max_connections = 100
+        self.limits = CallerLimits(body_bytes=_MAX_BODY_BYTES)
         self.go = asyncio.Event()
         self.go.set()
         self.started = 0
@@ -119,6 +123,13 @@
         await asyncio.sleep(0.001)
 
 
+async def _check_nothing_held(node: _Node) -> None:
+    """Check that closed connections leave nothing in the account."""
+    while node.connections:
+        await asyncio.sleep(0.001)
+    assert node.app.memory.held_bytes == 0
+
+
 async def test_responses_have_the_order_of_requests() -> None:
     """Responses have the order of their requests.
 
@@ -188,7 +199,7 @@
         response = await node.exchange(
             head, b'4\r\nwho', b'l\r\n2\r\ne!', b'\r\n0\r\n\r\n'
         )
-        assert node.app.unfinished_bytes == 0
+        await _check_nothing_held(node)
     assert response.endswith(b'POST /b whole!')
 
 
@@ -271,18 +282,17 @@
 
 
 @pytest.mark.parametrize(
-    'bound', ['HEAD_TIMEOUT_SECONDS', 'BODY_IDLE_TIMEOUT_SECONDS']
+    ('bound', 'part'),
+    [
+        ('head_ms', _POST_HEAD[:-2] % 10),
+        ('BODY_IDLE_TIMEOUT_SECONDS', b'%bpart' % (_POST_HEAD % 10)),
+        ('_BODY_TIMEOUT_SECONDS', b'%bpart' % (_POST_HEAD % 10)),
+    ],
 )
 async def test_slow_clients_are_disconnected(
-    bound: str, monkeypatch: pytest.MonkeyPatch
+    bound: str, part: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """An incomplete head or body does not occupy a connection forever."""
-    head = _POST_HEAD % 10
-    part = (
-        head[:-2]
-        if bound == 'HEAD_TIMEOUT_SECONDS'
-        else b''.join((head, b'part'))
-    )
     async with _running_node() as node:
         reader, writer = await node.connect()
         writer.write(part)
@@ -290,12 +300,53 @@
         for conn in tuple(node.connections):
             conn.abort_if_timed_out()
         assert len(node.connections) == 1
-        monkeypatch.setattr(request_protocol, bound, -1)
+        if bound == 'head_ms':
+            node.app.limits = CallerLimits(head_ms=-1)
+        else:
+            monkeypatch.setattr(request_protocol, bound, -1)
         for conn in tuple(node.connections):
             conn.abort_if_timed_out()
         assert await asyncio.wait_for(reader.read(), 30) == b''
         writer.close()
-        assert node.app.unfinished_bytes == 0
+        await _check_nothing_held(node)
+
+
+async def test_slow_reader_is_disconnected_once_it_stops(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A client may read slowly, but what it never reads must not stay."""
+    async with _running_node() as node:
+        reader, writer = await node.connect()
+        writer.write(_POST_HEAD % _MAX_BODY_BYTES + bytes(_MAX_BODY_BYTES))
+        while not any(conn.held_bytes for conn in node.connections):
+            await asyncio.sleep(0.001)
+        await _wait_until(node, 'started', 1)
+        conn = next(iter(node.connections))
+        conn.abort_if_timed_out()
+        unsent_bytes = conn.held_bytes
+        while conn.held_bytes >= unsent_bytes:
+            await reader.readexactly(100_000)
+        monkeypatch.setattr(request_protocol, 'BODY_IDLE_TIMEOUT_SECONDS', 0)
+        conn.abort_if_timed_out()
+        await asyncio.sleep(0.01)
+        assert node.connections
+        conn.abort_if_timed_out()
+        await _check_nothing_held(node)
+        writer.close()
+
+
+async def test_request_without_memory_is_refused_and_read_on() -> None:
+    """A client that sends its whole body first must get the refusal."""
+    async with _running_node() as node:
+        node.app.memory = MemoryAccount(
+            clock=node.app.clock, max_bytes=1_000_000
+        )
+        response = await node.exchange(
+            _POST_HEAD % _MAX_BODY_BYTES, bytes(_MAX_BODY_BYTES)
+        )
+        assert b'overloaded' in response
+        assert node.app.started == 0
+        await _check_nothing_held(node)
 
 
 async def test_shutdown_completes_arriving_request() -> None:
@@ -304,7 +355,7 @@
         idle, _ = await node.connect()
         reader, writer = await node.connect()
         writer.write(b''.join((_POST_HEAD % 8, b'part')))
-        while node.app.unfinished_bytes != 4:
+        while not any(conn.held_bytes == 4 for conn in node.connections):
             await asyncio.sleep(0.001)
         for conn in tuple(node.connections):
             conn.shutdown()
@@ -316,13 +367,13 @@
 
 
 async def test_node_serves_after_arbitrary_input(
-    pytestconfig: pytest.Config, monkeypatch: pytest.MonkeyPatch
+    pytestconfig: pytest.Config,
 ) -> None:
     """Arbitrary input from one client does not stop service for the next."""
-    monkeypatch.setattr(request_protocol, 'HEAD_TIMEOUT_SECONDS', math.inf)
     cases = load_cases(pytestconfig.rootpath / 'tests' / 'corpus')
     payloads = [case.payload for case in cases if case.kind is Kind.HTTP]
     async with _running_node() as node:
+        node.app.limits = CallerLimits(head_ms=math.inf)
         for payload in payloads:
             _, writer = await node.connect()
             writer.write(payload)
--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -18,8 +18,8 @@
 from savorystand.clock import Clock
 from savorystand.dispatch.attempt_budget import AttemptBudget
 from savorystand.gateway.http_connection import HttpConnection
-from savorystand.gateway.response_memory import ResponseMemory
 from savorystand.gateway.target_client import TargetClient
+from savorystand.memory.account import MemoryAccount
 from savorystand.retry.policy import RetryPolicy
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
@@ -99,7 +99,7 @@
 @asynccontextmanager
 async def _client(
     target: _Target,
-    memory: ResponseMemory | None = None,
+    account: MemoryAccount | None = None,
     may_start: Callable[[TargetBinding], bool] | None = None,
 ) -> AsyncIterator[TargetClient]:
     async with stream_server(target.serve) as port:
@@ -107,7 +107,7 @@
             clock=Clock(),
             host='127.0.0.1',
             port=port,
-            memory=memory,
+            account=account,
             may_start=may_start or _always,
         )
 
@@ -263,13 +263,13 @@
     )
     slow = (_COMPLETE_RESPONSE[:-1], _PAUSE, _COMPLETE_RESPONSE[-1:])
     target = _Target(slow, *(endless for _ in range(20)))
-    memory = ResponseMemory(max_bytes=1_000_000)
+    account = MemoryAccount(clock=Clock(), max_bytes=1_000_000)
     outcomes: list[Outcome] = []
 
     async def send(client: TargetClient) -> None:
         outcomes.append(await _send(client, 60_000))
 
-    async with _client(target, memory) as client:
+    async with _client(target, account) as client:
         with anyio.fail_after(20):
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(send, client)
