Pass on no response of a target without a valid status

Statuses below 200 counted as interim and any other as final. A status is now 100 to 199 for an interim response, without 101, and 200 to 599 for a final one; anything else fails the exchange at once, and the worker may have run the request. Statuses of 600 and above are invalid by RFC 9110, section 15. What a peer's frame says is checked as well, and ends only that call.

--- a/src/savorystand/call.py
+++ b/src/savorystand/call.py
@@ -27,6 +27,8 @@
 Headers: TypeAlias = tuple[tuple[str, str], ...]
 # Not changed once it is part of a request, call or response.
 Body: TypeAlias = bytes | bytearray
+_MIN_FINAL_STATUS = 200
+_MAX_STATUS = 599
 
 
 @final
@@ -169,6 +171,14 @@
         )
 
 
+def is_final_status(status: int) -> bool:
+    """Return True for a status that a final response may have.
+
+    Statuses of 600 and above are invalid (RFC 9110, section 15).
+    """
+    return _MIN_FINAL_STATUS <= status <= _MAX_STATUS
+
+
 Outcome: TypeAlias = Result[Response, Refusal]
 
 
--- a/src/savorystand/gateway/response_reader.py
+++ b/src/savorystand/gateway/response_reader.py
@@ -10,6 +10,7 @@
 from httptools import HttpResponseParser
 
 from savorystand.call import Response
+from savorystand.call import is_final_status
 from savorystand.gateway.errors import TargetProtocolError
 from savorystand.gateway.headers import header_name
 from savorystand.memory.buffer import HeldBuffer
@@ -29,7 +30,10 @@
 BufferFactory: TypeAlias = Callable[[], HeldBuffer]
 
 _MAX_HEADER_BYTES = 65536
+_MIN_INTERIM_STATUS = 100
 _MIN_FINAL_STATUS = 200
+# No request asks to switch protocols, after which no response would follow.
+_SWITCHING_PROTOCOLS = 101
 # Interim responses and late ones to earlier requests that may come before the
 # response to the current one.
 _MAX_OTHER_RESPONSES = 16
@@ -135,6 +139,8 @@
         self.status = self._parser.get_status_code()
         self.headers_complete = True
         self._unparsed_bytes = 0
+        if not _is_valid_status(self.status):
+            raise TargetProtocolError(f'invalid status {self.status}')
         if self._on_head is not None and self.status >= _MIN_FINAL_STATUS:
             self._on_head(self.status, tuple(self.headers))
 
@@ -219,3 +225,10 @@
         self.headers.clear()
         self.body = self._create_buffer()
         self.headers_complete = False
+
+
+def _is_valid_status(status: int) -> bool:
+    is_interim = _MIN_INTERIM_STATUS <= status < _MIN_FINAL_STATUS
+    if is_interim:
+        return status != _SWITCHING_PROTOCOLS
+    return is_final_status(status)
--- a/src/savorystand/transport/pending.py
+++ b/src/savorystand/transport/pending.py
@@ -8,6 +8,7 @@
 from expression import Error
 
 from savorystand.call import Answered
+from savorystand.call import is_final_status
 from savorystand.memory.errors import MemoryShortError
 from savorystand.transport.assembly import BodyAssembly
 from savorystand.transport.assembly import complete_body
@@ -51,14 +52,14 @@
             self.outcome = outcome
         self.wake()
 
-    def give_up(self) -> None:
+    def drop_response(self) -> None:
         """Finish without the response, for which there is no memory."""
+        self.give_up(Reason.CANCELLED, 'no memory for the response')
+
+    def give_up(self, reason: Reason, detail: str) -> None:
+        """Finish although the peer may send more of the response."""
         self.given_up = True
-        refusal = MayHaveRun(
-            reason=Reason.CANCELLED,
-            detail='the node has no memory for the response',
-        )
-        self.finish(Error(refusal))
+        self.finish(Error(MayHaveRun(reason=reason, detail=detail)))
 
     def close_assembly(self) -> None:
         """Let go of an incomplete response."""
@@ -149,6 +150,10 @@
         if pending is None:
             return
         pending.begun = True
+        if not is_final_status(start.status):
+            detail = f'the peer passed on the invalid status {start.status}'
+            pending.give_up(Reason.TARGET_FAILED, detail)
+            return
         body = complete_body(start)
         if body is not None:
             pending.finish(Answered(decode_response(start, body)))
@@ -157,10 +162,10 @@
             pending.assembly = BodyAssembly(
                 start=start,
                 account=self._account,
-                on_drop=pending.give_up,
+                on_drop=pending.drop_response,
             )
         except MemoryShortError:
-            pending.give_up()
+            pending.drop_response()
 
     def add_chunk(self, chunk: Message) -> None:
         """Process a further chunk of a response.
--- a/tests/transport/test_malformed_frames.py
+++ b/tests/transport/test_malformed_frames.py
@@ -26,6 +26,7 @@
 from savorystand.transport.server import ServerConnection
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
+from savorystand.verdict import Reason
 from savorystand.wire.codec import FrameBuffer
 from savorystand.wire.codec import encode_frame
 from savorystand.wire.errors import FrameError
@@ -201,6 +202,30 @@
     assert isinstance(outcome.error, MayHaveRun)
 
 
+@pytest.mark.parametrize('status', [-1, 0, 99, 101, 199, 600, 2000])
+@pytest.mark.parametrize('body_size', [4, 50000])
+def test_response_without_valid_status_is_no_answer(
+    status: int, body_size: int
+) -> None:
+    """A node of an earlier version may pass on a status of 000 (letter 11)."""
+    start = ttypes.AnswerStart(
+        stream=_CALL_STREAM,
+        status=status,
+        headers=[],
+        body=b'body',
+        last=body_size == 4,
+        retries_left=0,
+        load=_RESPONSE_START.answer.load,
+        body_size=body_size,
+    )
+    outcome = anyio.run(
+        _send_to_client, [encode_frame(ttypes.Frame(answer=start)), _REFUSAL]
+    )
+    assert outcome.is_error()
+    assert isinstance(outcome.error, MayHaveRun)
+    assert outcome.error.reason is Reason.TARGET_FAILED
+
+
 def test_short_chunks_are_refused() -> None:
     """A body of empty chunks, which could take unlimited memory, is refused."""
     assembly = BodyAssembly(start=_RESPONSE_START.answer)
