Move what decides about callers' connections out of the adapter

When requests are too late, and which limits hold, does not depend on the platform; RequestHandler keeps both now.

--- a/src/savorystand/gateway/request_protocol.py
+++ b/src/savorystand/gateway/request_protocol.py
@@ -13,7 +13,6 @@
 from collections import deque
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import Protocol
 from typing import cast
 
 from httptools import HttpParserError
@@ -33,12 +32,9 @@
 from savorystand.verdict import Reason
 
 if TYPE_CHECKING:
-    from savorystand.clock import Clock
     from savorystand.gateway.asgi import HttpResponse
     from savorystand.gateway.contexts import Request
-    from savorystand.memory.account import MemoryAccount
-    from savorystand.tables.limits import CallerLimits
-    from savorystand.verdict import Refusal
+    from savorystand.gateway.request_handler import RequestHandler
 
 _log = Logger('savorystand')
 # Bound on the complete requests of one connection that wait for an earlier one.
@@ -68,33 +64,6 @@
 )
 
 
-class RequestHandler(Protocol):
-    """Application of a listener without ASGI.
-
-    While ``closing`` is True, connections are closed after each response.
-    What the connections hold counts towards ``memory``. There are at most
-    ``max_connections`` of them.
-    """
-
-    clock: Clock
-    closing: bool
-    memory: MemoryAccount
-    max_connections: int
-
-    @property
-    def limits(self) -> CallerLimits:
-        """Return the limits in force."""
-
-    async def serve(self, request: Request) -> HttpResponse:
-        """Return the response to a request.
-
-        It is cancelled if the client disconnects.
-        """
-
-    def refuse(self, refusal: Refusal) -> HttpResponse:
-        """Return the response to a request that is not served."""
-
-
 # Most methods are callbacks of the parser, the event loop and the account.
 class RequestProtocol(asyncio.Protocol):  # noqa: WPS214, WPS230
     """One connection of a caller, with a task for each request.
@@ -441,7 +410,7 @@
             )
         )
 
-    def _refuse(self, refusal: Refusal) -> None:
+    def _refuse(self, refusal: NotRun) -> None:
         # The rest of the request is not served. The connection is closed after
         # the response.
         self._drop_input()
--- a/src/savorystand/platform/ingress.py
+++ b/src/savorystand/platform/ingress.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from expression import Result
@@ -10,7 +9,6 @@
 from savorystand.call import Call
 from savorystand.call import CallContext
 from savorystand.clock import MS_PER_SECOND
-from savorystand.clock import Clock
 from savorystand.dispatch.dispatcher import Dispatcher
 from savorystand.dispatch.local_pool import LocalPool
 from savorystand.dispatch.parents import ParentInference
@@ -18,15 +16,13 @@
 from savorystand.gateway.asgi import HttpResponse
 from savorystand.gateway.contexts import Request
 from savorystand.gateway.contexts import parse_deadline_ms
-from savorystand.gateway.protocol import MAX_CONNECTIONS
 from savorystand.gateway.refusals import refusal_body
-from savorystand.memory.account import find_memory
+from savorystand.gateway.request_handler import RequestHandler
 from savorystand.platform import headers as header_names
 from savorystand.reporting.events import request_refused
 from savorystand.reporting.logs import EventLog
 from savorystand.reporting.logs import EventName
 from savorystand.routing.splits import SplitChooser
-from savorystand.tables.holder import TablesHolder
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
@@ -35,14 +31,9 @@
 if TYPE_CHECKING:
     from savorystand.call import Outcome
     from savorystand.kernel.kernel import Kernel
-    from savorystand.tables.limits import CallerLimits
     from savorystand.tables.route import Route
     from savorystand.tables.tables import Tables
 
-# Requests that arrive later than this after the node began to close connections
-# are refused: they could be cut unanswered when the process ends. Before, some
-# are still on their way from clients that do not know of the stop.
-_LATE_REQUEST_MS = 500
 # A target that refused or was unreachable seldom recovers in less time.
 _MIN_RETRY_AFTER_MS = 200
 _BAD_GATEWAY = 502
@@ -60,11 +51,8 @@
 }
 
 
-class Ingress:
-    """Turns requests into calls and their outcomes into responses.
-
-    Implements ``RequestHandler``.
-    """
+class Ingress(RequestHandler):
+    """Turns requests into calls and their outcomes into responses."""
 
     __slots__ = (
         '_dispatcher',
@@ -72,52 +60,25 @@
         '_log',
         '_parents',
         '_service',
-        '_serve_until_ms',
         '_splits',
-        '_tables',
-        'clock',
-        'closing',
-        'max_connections',
-        'memory',
     )
 
     def __init__(
-        self,
-        *,
-        kernel: Kernel,
-        service: str,
-        max_connections: int = MAX_CONNECTIONS,
+        self, *, kernel: Kernel, service: str, max_connections: int
     ) -> None:
         """Serve requests of ``service``, unless the target names another."""
-        self.clock = kernel.find('clock', Clock)
+        super().__init__(kernel=kernel, max_connections=max_connections)
         self._log = kernel.find('log', EventLog)
         self._dispatcher = kernel.find('dispatcher', Dispatcher)
         self._parents = kernel.find('parents', ParentInference)
         self._local_pool = kernel.find('local pool', LocalPool)
-        self._tables = kernel.find('tables', TablesHolder)
         self._service = service
-        self.closing = False
-        self._serve_until_ms = math.inf
-        self.memory = find_memory(kernel, self.clock)
-        self.max_connections = max_connections
         self._splits = SplitChooser()
 
-    @property
-    def limits(self) -> CallerLimits:
-        """Return the limits of the configuration in force."""
-        return self._tables.current().limits
-
-    def close_connections(self) -> None:
-        """Make each further response ask the client to close.
-
-        Requests that arrive more than ``_LATE_REQUEST_MS`` later are refused.
-        """
-        self.closing = True
-        self._serve_until_ms = self.clock.now() + _LATE_REQUEST_MS
-
-    def refuse(self, refusal: Refusal) -> HttpResponse:
-        """Return the response to a request that is refused without a call."""
-        return _refusal_response(refusal)
+    def refuse(self, refusal: NotRun) -> HttpResponse:
+        """Return the response to a request that has not arrived completely."""
+        tables = self._tables.current()
+        return self._refuse(EventName.CALL_REFUSED, '', refusal, tables)
 
     async def serve(self, request: Request) -> HttpResponse:
         """Route a request, run its call and return the response."""
@@ -142,13 +103,11 @@
         return _outcome_response(await self._dispatcher.call(call), request_id)
 
     def _early_refusal(self, tables: Tables) -> NotRun | None:
-        if self.clock.now() > self._serve_until_ms:
-            return NotRun(reason=Reason.DRAINING, detail='the node is stopping')
-        if not tables.revision:
-            # Without tables, an unknown route cannot be told from a known one.
-            detail = 'no configuration received yet'
-            return NotRun(reason=Reason.UNAVAILABLE, detail=detail)
-        return None
+        if tables.revision:
+            return self.late_refusal()
+        # Without tables, an unknown route cannot be told from a known one.
+        detail = 'no configuration received yet'
+        return NotRun(reason=Reason.UNAVAILABLE, detail=detail)
 
     def _refuse(
         self, name: EventName, request_id: str, refusal: NotRun, tables: Tables
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -85,7 +85,9 @@
         kernel.register('executions', ExecutionRegistry())
         kernel.register('parents', ParentInference(kernel=kernel))
         kernel.register('dispatcher', self.dispatcher)
-        self.ingress = Ingress(kernel=kernel, service='billing')
+        self.ingress = Ingress(
+            kernel=kernel, service='billing', max_connections=10
+        )
 
     async def send(self, path: str = '/a/b') -> tuple[int, dict[str, str]]:
         request = Request(
