Bound unread input and the opening frames of calls

At a worker that answers nothing, 2,800 bodies of 30 kB took an entry node of 200 MB to 251 MB, although the account held 105 MB of them. Two places were not counted. Each connection may have a receive buffer of unread input, 81 MB together; and the first chunks of calls queued without bound for a peer connection that was busy, a copy of 16 KiB for each call.

Receive buffers are 16 KiB, and callers have no more connections than fit into a quarter of the account. A call or response waits before its first frame while 256 KiB of such frames are queued; one that ends there has not run. Blocks of 32 KiB and more are returned to the system when freed.

test_calls_wait_at_their_source_for_a_stalled_peer fails without the bound.

--- a/src/savorystand/gateway/idle_connections.py
+++ b/src/savorystand/gateway/idle_connections.py
@@ -11,16 +11,22 @@
 _CLOSED_FRACTION = 0.03125
 
 
+# Receive buffer of the system for each connection.
+RECEIVE_BYTES = 16384
 # Descriptors for files, and the part of the others that is left for connections
 # to peers, to the store, to the target and from it.
 _FILE_DESCRIPTORS = 200
 _OTHER_FRACTION = 0.25
 
 
-def caller_connections(max_descriptors: int) -> int:
-    """Return how many of a process's descriptors callers may use."""
-    sockets = max_descriptors - _FILE_DESCRIPTORS
-    return max(1, int(sockets * (1 - _OTHER_FRACTION)))
+def caller_connections(max_descriptors: int, max_unread_bytes: float) -> int:
+    """Return how many connections callers may have.
+
+    They use a part of the ``max_descriptors`` of the process, and what it has
+    not read yet stays within ``max_unread_bytes`` on all of them together.
+    """
+    sockets = (max_descriptors - _FILE_DESCRIPTORS) * (1 - _OTHER_FRACTION)
+    return max(1, int(min(sockets, max_unread_bytes / RECEIVE_BYTES)))
 
 
 class CallerConnection(Protocol):
--- a/src/savorystand/gateway/request_handler.py
+++ b/src/savorystand/gateway/request_handler.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from savorystand.clock import Clock
+from savorystand.gateway.idle_connections import caller_connections
 from savorystand.memory.account import find_memory
 from savorystand.tables.holder import TablesHolder
 from savorystand.verdict import NotRun
@@ -42,11 +43,16 @@
         'memory',
     )
 
-    def __init__(self, *, kernel: Kernel, max_connections: int) -> None:
-        """Use the tables of ``kernel``, and its memory account if it has one."""
+    def __init__(self, *, kernel: Kernel, max_descriptors: int) -> None:
+        """Use the tables of ``kernel``, and its memory account if it has one.
+
+        The process may use ``max_descriptors`` descriptors.
+        """
         self.clock = kernel.find('clock', Clock)
         self.memory = find_memory(kernel, self.clock)
-        self.max_connections = max_connections
+        self.max_connections = caller_connections(
+            max_descriptors, self.memory.max_unread_bytes
+        )
         self.closing = False
         self._serve_until_ms = math.inf
         self._tables = kernel.find('tables', TablesHolder)
--- a/src/savorystand/memory/account.py
+++ b/src/savorystand/memory/account.py
@@ -29,7 +29,9 @@
 _OWN_BYTES = 60 * BYTES_PER_MB
 # Part of the rest that may be held. The allocator, buffers of the system and
 # objects of requests in progress take the other part.
-_HELD_FRACTION = 0.75
+_HELD_FRACTION = 0.7
+# Part of what may be held that unread input of callers may take besides.
+_UNREAD_FRACTION = 0.25
 # An owner that holds no more than this may use the reserve, so that ordinary
 # requests find room beside large ones.
 SMALL_BYTES = 65536
@@ -100,6 +102,11 @@
                 self._peak_bytes = self.held_bytes
                 release_free_memory()
 
+    @property
+    def max_unread_bytes(self) -> float:
+        """Return how much input of callers may wait to be read."""
+        return self._max_bytes * _UNREAD_FRACTION
+
     def now(self) -> float:
         """Return the time by which progress is measured, in milliseconds."""
         return self._clock.now()
--- a/src/savorystand/memory/allocator.py
+++ b/src/savorystand/memory/allocator.py
@@ -6,7 +6,7 @@
 
 # Parameter of mallopt(3) in glibc.
 _M_MMAP_THRESHOLD = -3
-_MMAP_THRESHOLD_BYTES = 65536
+_MMAP_THRESHOLD_BYTES = 32768
 
 
 def tune_allocator() -> None:
--- a/src/savorystand/node/sidecar.py
+++ b/src/savorystand/node/sidecar.py
@@ -13,7 +13,7 @@
 from savorystand.dispatch.local_pool import LocalPool
 from savorystand.dispatch.parents import ParentInference
 from savorystand.dispatch.target_notices import TargetNotices
-from savorystand.gateway.idle_connections import caller_connections
+from savorystand.gateway.idle_connections import RECEIVE_BYTES
 from savorystand.gateway.request_protocol import RequestProtocol
 from savorystand.gateway.server import HttpListener
 from savorystand.gateway.target_client import TargetClient
@@ -63,9 +63,6 @@
 # Interval between checks of the node's own load. A shorter one is not worth its
 # cost: each push goes to all callers, and responses carry the load anyway.
 _LOAD_CHECK_INTERVAL_MS = 200
-# Receive buffer of a connection of a caller. What the process has not read yet
-# counts towards its memory, on all of them together.
-_CALLER_RECEIVE_BYTES = 32768
 # The target and the platform keep connections for announcements and readiness
 # checks.
 _KEEP_ALIVE_TIMEOUT_SECONDS = 300
@@ -205,12 +202,12 @@
             app=Ingress(
                 kernel=kernel,
                 service=cfg.service,
-                max_connections=caller_connections(cfg.max_descriptors),
+                max_descriptors=cfg.max_descriptors,
             ),
             host=cfg.node.callers.host,
             port=cfg.node.callers.port,
             protocol=RequestProtocol,
-            receive_bytes=_CALLER_RECEIVE_BYTES,
+            receive_bytes=RECEIVE_BYTES,
         ),
         'readiness': lambda kernel: SidecarShutdown(
             kernel=kernel, grace_ms=cfg.grace_ms
--- a/src/savorystand/platform/ingress.py
+++ b/src/savorystand/platform/ingress.py
@@ -64,10 +64,10 @@
     )
 
     def __init__(
-        self, *, kernel: Kernel, service: str, max_connections: int
+        self, *, kernel: Kernel, service: str, max_descriptors: int
     ) -> None:
         """Serve requests of ``service``, unless the target names another."""
-        super().__init__(kernel=kernel, max_connections=max_connections)
+        super().__init__(kernel=kernel, max_descriptors=max_descriptors)
         self._log = kernel.find('log', EventLog)
         self._dispatcher = kernel.find('dispatcher', Dispatcher)
         self._parents = kernel.find('parents', ParentInference)
--- a/src/savorystand/transport/connection.py
+++ b/src/savorystand/transport/connection.py
@@ -231,31 +231,31 @@
         stream_id, pending = self._pending.open(
             self._clock.loop().create_future()
         )
-        now = self._clock.now()
-        wait_ms = call.context.deadline_ms - now + _OUTCOME_GRACE_MS
+        wait_ms = call.context.deadline_ms - self._clock.now()
+        wait_ms += _OUTCOME_GRACE_MS
         # The timer ends the wait for ``pending.done`` without an outcome. It
         # costs less than an anyio cancel scope.
         timer = self._clock.call_later(max(0, wait_ms), pending.wake)
         try:
-            self._writer.send(call_frame(call, stream_id, now))
-            if len(call.body) > CHUNK_BYTES:
-                # Once the call ends, an upload that waits for space in the
-                # writer's queue of chunks is woken, and stops.
-                pending.done.add_done_callback(
-                    lambda done: self._writer.wake_senders()
-                )
-                await self._writer.send_remaining_chunks(
-                    call.body, stream_id, pending.done.done
-                )
+            await _send_call(
+                self._writer, call, stream_id, pending, self._clock
+            )
             await pending.done
         except FrameError as exc:
             return Error(NotRun(reason=Reason.TOO_LARGE, detail=str(exc)))
         finally:
             timer.cancel()
             self._end_call(stream_id, pending)
-        if pending.outcome is None:
+        if pending.outcome is not None:
+            return pending.outcome
+        if pending.sent:
             return Error(MayHaveRun(reason=Reason.DEADLINE))
-        return pending.outcome
+        return Error(
+            NotRun(
+                reason=Reason.DEADLINE,
+                detail='the connection to the peer had no room in time',
+            )
+        )
 
     def _end_call(self, stream_id: int, pending: PendingCall) -> None:
         self._pending.close(stream_id)
@@ -283,6 +283,32 @@
         self._pending.fail_all()
 
 
+async def _send_call(
+    writer: FrameWriter,
+    call: Call,
+    stream_id: int,
+    pending: PendingCall,
+    clock: Clock,
+) -> None:
+    """Queue the frames of a call once there is space for the first.
+
+    Nothing is sent if the call ends before.
+    """
+    is_long = len(call.body) > CHUNK_BYTES
+    if is_long or writer.is_full():
+        # A call that ends while it waits for space is woken, and stops.
+        pending.done.add_done_callback(lambda done: writer.wake_senders())
+        await writer.wait_until_not_full(pending.done.done)
+        if pending.done.done():
+            return
+    pending.sent = True
+    writer.send(call_frame(call, stream_id, clock.now()))
+    if is_long:
+        await writer.send_remaining_chunks(
+            call.body, stream_id, pending.done.done
+        )
+
+
 class Connections(Protocol):
     """A changing set of connections, such as a dictionary by peer."""
 
--- a/src/savorystand/transport/pending.py
+++ b/src/savorystand/transport/pending.py
@@ -17,6 +17,7 @@
 from savorystand.transport.loads import decode_load_push
 from savorystand.transport.loads import decode_refusal_load
 from savorystand.verdict import MayHaveRun
+from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 from savorystand.wire.errors import FrameError
 
@@ -33,7 +34,7 @@
 class PendingCall:
     """A call whose response has not arrived completely."""
 
-    __slots__ = ('assembly', 'begun', 'done', 'given_up', 'outcome')
+    __slots__ = ('assembly', 'begun', 'done', 'given_up', 'outcome', 'sent')
 
     def __init__(self, done: asyncio.Future[None]) -> None:
         """Create a call without a response; its caller awaits ``done``."""
@@ -42,6 +43,8 @@
         self.assembly: BodyAssembly | None = None
         # True once the peer has sent anything but a refusal for the call.
         self.begun = False
+        # True once the peer may receive the call.
+        self.sent = False
         # True once this node does not want the response any more.
         self.given_up = False
         self.outcome: Outcome | None = None
@@ -206,13 +209,14 @@
         pending.finish(Error(refusal))
 
     def fail_all(self) -> None:
-        """Finish all calls with ``MayHaveRun``.
+        """Finish all calls: the connection is lost.
 
-        Their requests were sent, and their responses are lost.
+        The peer may have run those that were sent.
         """
         for pending in self._calls.values():
             if pending.outcome is None:
-                lost = MayHaveRun(reason=Reason.CONNECTION_LOST)
+                verdict = MayHaveRun if pending.sent else NotRun
+                lost = verdict(reason=Reason.CONNECTION_LOST)
                 pending.finish(Error(lost))
 
     def _mark_begun(self, frame: Message) -> None:
--- a/src/savorystand/transport/server.py
+++ b/src/savorystand/transport/server.py
@@ -179,9 +179,10 @@
         call: Call,
     ) -> None:
         try:
-            body = self._send_outcome(
-                stream_id, await self._inbound.serve(call)
-            )
+            outcome = await self._inbound.serve(call)
+            if self._writer.is_full():
+                await self._writer.wait_until_not_full()
+            body = self._send_outcome(stream_id, outcome)
             if len(body) > CHUNK_BYTES:
                 await self._writer.send_remaining_chunks(body, stream_id)
         except Exception:
--- a/src/savorystand/transport/writer.py
+++ b/src/savorystand/transport/writer.py
@@ -25,6 +25,8 @@
 # Bound on the queued chunks of one connection, so that an upload waits at its
 # source instead of filling the memory of the node.
 _MAX_QUEUED_CHUNKS = 8
+# The same for frames that open calls and responses, which carry up to a chunk.
+_MAX_SHORT_BYTES = 262144
 
 
 def _never_ended() -> bool:
@@ -38,8 +40,9 @@
         '_chunks',
         '_on_frame',
         '_space_freed',
-        '_try_send',
+        '_short_bytes',
         '_short_frames',
+        '_try_send',
         '_wake',
     )
 
@@ -52,6 +55,7 @@
         # Writes without the queue, if the stream supports that.
         self._try_send: Callable[[bytes], bool] | None = None
         self._short_frames: deque[bytes] = deque()
+        self._short_bytes = 0
         self._chunks: deque[bytes] = deque()
         self._wake = anyio.Event()
         self._space_freed = anyio.Event()
@@ -73,8 +77,20 @@
             if self._try_send(encoded):
                 return
         self._short_frames.append(encoded)
+        self._short_bytes += len(encoded)
         self._wake.set()
 
+    def is_full(self) -> bool:
+        """Return True if a call or response has to wait before its start."""
+        return self._short_bytes >= _MAX_SHORT_BYTES
+
+    async def wait_until_not_full(
+        self, ended: Callable[[], bool] = _never_ended
+    ) -> None:
+        """Wait for space for short frames, or until ``ended`` returns True."""
+        while self.is_full() and not ended():
+            await self._wait_for_space()
+
     async def send_remaining_chunks(
         self,
         body: Body,
@@ -134,8 +150,11 @@
         # A batch has at most one chunk, so that a short frame never waits for
         # more than one.
         batch = list(self._short_frames)
-        self._short_frames.clear()
         if self._chunks:
             batch.append(self._chunks.popleft())
             self._space_freed.set()
+        elif self.is_full():
+            self._space_freed.set()
+        self._short_frames.clear()
+        self._short_bytes = 0
         return b''.join(batch)
--- a/tests/gateway/test_idle_connections.py
+++ b/tests/gateway/test_idle_connections.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+
+from savorystand.gateway.idle_connections import RECEIVE_BYTES
 from savorystand.gateway.idle_connections import caller_connections
 from savorystand.gateway.idle_connections import close_longest_idle
 
@@ -37,6 +40,11 @@
 
 def test_descriptors_are_left_for_others() -> None:
     """Callers must not take those of peers, the store and the target."""
-    assert caller_connections(4100) == 2925
-    assert caller_connections(400) == 150
-    assert caller_connections(100) == 1
+    assert caller_connections(4100, math.inf) == 2925
+    assert caller_connections(400, math.inf) == 150
+    assert caller_connections(100, math.inf) == 1
+
+
+def test_unread_input_of_all_connections_is_bounded() -> None:
+    """What the system holds for the process counts towards its memory."""
+    assert caller_connections(4100, 1000 * RECEIVE_BYTES) == 1000
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -86,7 +86,7 @@
         kernel.register('parents', ParentInference(kernel=kernel))
         kernel.register('dispatcher', self.dispatcher)
         self.ingress = Ingress(
-            kernel=kernel, service='billing', max_connections=10
+            kernel=kernel, service='billing', max_descriptors=4096
         )
 
     async def send(self, path: str = '/a/b') -> tuple[int, dict[str, str]]:
--- a/tests/transport/test_writer.py
+++ b/tests/transport/test_writer.py
@@ -15,6 +15,7 @@
 from savorystand.transport.connection import PeerConnection
 from savorystand.transport.writer import FrameWriter
 from savorystand.verdict import MayHaveRun
+from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 from savorystand.wire.codec import FrameBuffer
 from tests.policy_doubles import let_tasks_run
@@ -122,5 +123,45 @@
     assert conn.in_flight == 0
 
 
+@pytest.mark.parametrize('cause', ['deadline', 'connection'])
+async def test_calls_wait_at_their_source_for_a_stalled_peer(
+    cause: str,
+) -> None:
+    """The first chunks of many calls must not fill the memory of the node.
+
+    What was not queued has not run.
+    """
+    clock = ManualClock()
+    conn = PeerConnection(
+        clock=clock,
+        on_load=_ignore_load,
+        on_control=lambda frame: None,
+    )
+    outcomes: list[Outcome] = []
+
+    async def call() -> None:
+        body = bytes(16000)
+        outcomes.append(await conn.call(make_call(body=body, deadline_ms=1000)))
+
+    with anyio.fail_after(30):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(conn.run, _StalledStream())
+            await let_tasks_run()
+            for _ in range(100):
+                tasks.start_soon(call)
+            await let_tasks_run()
+            assert conn.in_flight == 100
+            if cause == 'deadline':
+                clock.advance(1500)
+            else:
+                conn.abort()
+            await let_tasks_run()
+            tasks.cancel_scope.cancel()
+    refusals = [outcome.error for outcome in outcomes]
+    unsent = [one for one in refusals if isinstance(one, NotRun)]
+    # 256 KiB are queued, and as much may be in the batch that is written.
+    assert (len(refusals), len(unsent) >= 60) == (100, True)
+
+
 def _ignore_load(load: TargetLoad) -> None:
     assert load
