Count the bodies of announcements in the memory account

BodyReader kept each part of a body as an object of its own, so that chunks of one byte took forty times their size, and bodies at the announcement listener were bounded one by one only. They are kept in one piece and counted now; one for which there is no memory is not read on.

--- a/src/savorystand/gateway/asgi.py
+++ b/src/savorystand/gateway/asgi.py
@@ -12,6 +12,10 @@
 from typing import TypeAlias
 from typing import final
 
+from savorystand.clock import Clock
+from savorystand.memory.account import MemoryAccount
+from savorystand.memory.buffer import HeldBuffer
+from savorystand.memory.errors import MemoryShortError
 from savorystand.transport.bounds import MAX_KEY_BYTES
 from savorystand.transport.bounds import MAX_PATH_BYTES
 
@@ -47,6 +51,10 @@
     """The client closed the connection before the body was complete."""
 
 
+# A request whose body cannot be read gets no response of the application.
+UNREAD_ERRORS = (RequestAbortedError, RequestTooLargeError, TooManyBodiesError)
+
+
 @final
 @dataclass(slots=True, kw_only=True)
 class HttpResponse:
@@ -117,20 +125,21 @@
     All requests of a listener share one reader.
     """
 
-    __slots__ = ('_unfinished_bytes',)
+    __slots__ = ('_account', '_unfinished_bytes')
 
-    def __init__(self) -> None:
-        """Start with no unfinished bodies."""
+    def __init__(self, *, account: MemoryAccount | None = None) -> None:
+        """Start with no unfinished bodies; they count towards ``account``."""
+        self._account = account or MemoryAccount(clock=Clock())
         # Received bytes of all bodies that are incomplete.
         self._unfinished_bytes = 0
 
-    async def read(self, receive: Receive) -> bytes:
+    async def read(self, receive: Receive) -> Body:
         """Return the complete body of a request.
 
         Raises:
             RequestTooLargeError: it exceeds ``MAX_BODY_BYTES``.
             TooManyBodiesError: it arrives in parts while the unfinished
-                bodies exceed ``MAX_UNFINISHED_BYTES``.
+                bodies exceed ``MAX_UNFINISHED_BYTES``, or there is no memory.
             RequestAbortedError: the client disconnected before its end.
         """
         message = await receive()
@@ -138,48 +147,53 @@
             return _check_body_size(message.get('body', b''))
         if self._unfinished_bytes > MAX_UNFINISHED_BYTES:
             raise TooManyBodiesError
-        parts: list[bytes] = []
+        # In one piece: the parts of a chunked body may have one byte each.
+        body = HeldBuffer(account=self._account)
         try:
-            await self._receive_parts(message, receive, parts)
+            await self._receive_parts(message, receive, body)
+        except MemoryShortError as exc:
+            raise TooManyBodiesError from exc
         finally:
-            self._unfinished_bytes -= sum(map(len, parts))
-        return b''.join(parts)
+            self._unfinished_bytes -= len(body)
+        return body
 
     async def _receive_parts(
         self,
         message: dict[str, Any],
         receive: Receive,
-        parts: list[bytes],
+        body: HeldBuffer,
     ) -> None:
-        size = 0
         while True:
             if message['type'] == 'http.disconnect':
                 raise RequestAbortedError
             part = message.get('body', b'')
-            size += len(part)
+            size = len(body) + len(part)
             if size > MAX_BODY_BYTES:
                 raise RequestTooLargeError(
                     f'body of at least {size} bytes, expected at most '
                     f'{MAX_BODY_BYTES}'
                 )
-            parts.append(part)
+            body.add(part)
             self._unfinished_bytes += len(part)
             if not message.get('more_body'):
                 return
             message = await receive()
 
 
-async def request_body(receive: Receive) -> bytes:
+async def request_body(
+    receive: Receive, account: MemoryAccount | None = None
+) -> bytes:
     """Return the complete body of a request.
 
-    Each call has its own reader, so that the memory of unfinished bodies is not
-    bounded across requests.
+    Each call has its own reader, so that only ``account`` bounds the memory of
+    unfinished bodies across requests.
 
     Raises:
         RequestTooLargeError: it exceeds ``MAX_BODY_BYTES``.
+        TooManyBodiesError: there is no memory for it.
         RequestAbortedError: the client disconnected before its end.
     """
-    return await BodyReader().read(receive)
+    return bytes(await BodyReader(account=account).read(receive))
 
 
 async def send_response(send: Send, response: HttpResponse) -> None:
@@ -203,7 +217,7 @@
     await send({'type': 'http.response.body', 'body': response.body})
 
 
-def _check_body_size(body: bytes) -> bytes:
+def _check_body_size(body: Body) -> Body:
     if len(body) > MAX_BODY_BYTES:
         raise RequestTooLargeError(
             f'body of {len(body)} bytes, expected at most {MAX_BODY_BYTES}'
--- a/src/savorystand/gateway/request_handler.py
+++ b/src/savorystand/gateway/request_handler.py
@@ -49,7 +49,7 @@
         The process may use ``max_descriptors`` descriptors.
         """
         self.clock = kernel.find('clock', Clock)
-        self.memory = find_memory(kernel, self.clock)
+        self.memory = find_memory(kernel)
         self.max_connections = caller_connections(
             max_descriptors, self.memory.max_unread_bytes
         )
--- a/src/savorystand/memory/account.py
+++ b/src/savorystand/memory/account.py
@@ -217,9 +217,9 @@
         self._refused = 0
 
 
-def find_memory(kernel: Kernel, clock: Clock) -> MemoryAccount:
+def find_memory(kernel: Kernel) -> MemoryAccount:
     """Return the service ``memory``, or an account without a limit."""
     try:
         return kernel.find('memory', MemoryAccount)
     except ServiceMissingError:
-        return MemoryAccount(clock=clock)
+        return MemoryAccount(clock=Clock())
--- a/src/savorystand/platform/control.py
+++ b/src/savorystand/platform/control.py
@@ -19,10 +19,9 @@
 from savorystand.departures.departures import Departures
 from savorystand.dispatch.announcements import Announcement
 from savorystand.dispatch.announcements import Announcements
+from savorystand.gateway.asgi import UNREAD_ERRORS
 from savorystand.gateway.asgi import HttpResponse
 from savorystand.gateway.asgi import Receive
-from savorystand.gateway.asgi import RequestAbortedError
-from savorystand.gateway.asgi import RequestTooLargeError
 from savorystand.gateway.asgi import Scope
 from savorystand.gateway.asgi import Send
 from savorystand.gateway.asgi import json_response
@@ -31,6 +30,7 @@
 from savorystand.gateway.readiness import Readiness
 from savorystand.membership.conversion import MAX_NUMBER
 from savorystand.membership.conversion import is_pool_name
+from savorystand.memory.account import find_memory
 from savorystand.reporting.logs import EventLog
 from savorystand.reporting.target_events import announcement_refused
 
@@ -70,12 +70,13 @@
 class ControlEndpoints:
     """Serves readiness checks and announcements of the local worker."""
 
-    __slots__ = ('_worker_address', '_kernel', '_log')
+    __slots__ = ('_worker_address', '_kernel', '_log', '_memory')
 
     def __init__(self, *, kernel: Kernel, worker_address: str) -> None:
         """Accept announcements of the worker at ``worker_address`` only."""
         self._kernel = kernel
         self._log = kernel.find('log', EventLog)
+        self._memory = find_memory(kernel)
         self._worker_address = worker_address
 
     async def __call__(
@@ -85,8 +86,8 @@
         if scope['type'] != 'http':
             return
         try:
-            body = await request_body(receive)
-        except (RequestAbortedError, RequestTooLargeError):
+            body = await request_body(receive, self._memory)
+        except UNREAD_ERRORS:
             # The client has disconnected, or ``uvicorn`` responds with status
             # 500 because no response was started.
             return
--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -70,7 +70,7 @@
         """Create the transport; ``run`` listens on ``host`` and ``port``."""
         self._kernel = kernel
         self._clock = kernel.find('clock', Clock)
-        self._account = find_memory(kernel, self._clock)
+        self._account = find_memory(kernel)
         self._host = host
         self._port = port
         self._connections = OutboundConnections()
