--- a/src/savorystand/lab/soak/actions.py
+++ b/src/savorystand/lab/soak/actions.py
@@ -8,6 +8,7 @@
 from typing import TypeAlias
 from typing import final
 
+from savorystand.lab.soak.crowd import Press
 from savorystand.lab.soak.link import LinkState
 from savorystand.lab.soak.target import Fault
 
@@ -160,7 +161,9 @@
 TargetAction: TypeAlias = NameLimit | Leave | Restart | Misbehave
 Signal: TypeAlias = Kill | Stop | Freeze | Reload
 StoreAction: TypeAlias = Configure | Restore
-Action: TypeAlias = BreakLink | Forge | Signal | StoreAction | TargetAction
+Action: TypeAlias = (
+    BreakLink | Forge | Press | Signal | StoreAction | TargetAction
+)
 
 
 def draw_action(rng: random.Random, nodes: int) -> Action:
@@ -200,7 +203,8 @@
         lambda: Kill(
             node=node, down_ms=rng.uniform(*_DARK_MS), has_power=False
         ),
+        lambda: Press(node=node, duration_ms=rng.uniform(*_FAULT_MS)),
     )
     # Rate limits and departures last long and are drawn more often.
-    weights = (1, 2, 1, 1, 3, 1, 3, 1, 2, 1, 2, 1, 1, 2)
+    weights = (1, 2, 1, 1, 3, 1, 3, 1, 2, 1, 2, 1, 1, 2, 2)
     return rng.choices(draws, weights)[0]()
--- a/src/savorystand/lab/soak/performer.py
+++ b/src/savorystand/lab/soak/performer.py
@@ -7,6 +7,8 @@
 from savorystand.lab.http_client import REQUEST_ERRORS
 from savorystand.lab.http_client import HttpClient
 from savorystand.lab.soak import actions
+from savorystand.lab.soak.crowd import Press
+from savorystand.lab.soak.crowd import press
 from savorystand.lab.soak.history import STORE
 from savorystand.lab.soak.history import Cause
 from savorystand.lab.soak.link import LinkState
@@ -74,6 +76,9 @@
                 await self._break_link(action)
             case actions.Forge(node=node):
                 await self._forge(self._machines[node])
+            case Press(node=node, duration_ms=duration_ms):
+                callers = self._machines[node].callers
+                await press(callers, self._rng, self._clock, duration_ms)
             case (
                 actions.NameLimit()
                 | actions.Leave()
