Bound input after the last request and keep refusals that malformed input follows

A head that arrives after the last request of a connection was kept without a bound, and malformed input right after a refused head closed the connection, which resets it before the client has the refusal. A request on a connection that had been idle counted as one that does not move, and gave way first. Three tests of test_request_protocol.py fail before.

--- a/src/savorystand/gateway/request_protocol.py
+++ b/src/savorystand/gateway/request_protocol.py
@@ -212,10 +212,8 @@
         except HttpParserError:
             self._reject_malformed()
             return
-        # Trailers and chunk extensions are subject to the same bound.
-        max_bytes = max_head_bytes(self._app.limits)
-        if self._unparsed_bytes > max_bytes and not self._input_ended:
-            self._refuse(too_large(f'head of more than {max_bytes} bytes'))
+        if self._unparsed_bytes:
+            self._check_head_size()
         self._count_input()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -254,6 +252,7 @@
         self._reading_head = True
         self._reading_message = True
         self._message_since = self._loop.time()
+        self._moved_at = self._message_since
         self._message = IncomingRequest()
 
     def on_url(self, url: bytes) -> None:
@@ -382,6 +381,16 @@
         self._account.give_back(size)
         self._counted_bytes -= size
 
+    def _check_head_size(self) -> None:
+        # Trailers and chunk extensions are subject to the same bound.
+        max_bytes = max_head_bytes(self._app.limits)
+        if self._unparsed_bytes <= max_bytes:
+            return
+        if self._input_ended:
+            self._drop_input()
+        else:
+            self._refuse(too_large(f'head of more than {max_bytes} bytes'))
+
     def _count_input(self) -> None:
         """Count an incomplete head, and let an incomplete request give way."""
         if self._parser is None:
@@ -496,6 +505,9 @@
         self._close()
 
     def _reject_malformed(self) -> None:
+        if self._parser is None:
+            # What follows a refused head need not be well-formed.
+            return
         is_answered = self._input_ended
         self._drop_input()
         # Earlier requests still get their responses.
--- a/tests/gateway/test_request_protocol.py
+++ b/tests/gateway/test_request_protocol.py
@@ -349,6 +349,60 @@
         await _check_nothing_held(node)
 
 
+async def test_head_after_the_last_request_is_bounded() -> None:
+    """Input that is not served any more must not stay in the parser."""
+    async with _running_node() as node:
+        node.app.go.clear()
+        reader, writer = await node.connect()
+        writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+        await _wait_until(node, 'started', 1)
+        conn = next(iter(node.connections))
+        conn.shutdown()
+        writer.write(b'GET /later HTTP/1.1\r\nx: ')
+        while not conn.held_bytes:
+            await asyncio.sleep(0.001)
+        for _ in range(100):
+            writer.write(b'x' * 10_000)
+            await writer.drain()
+        while conn.held_bytes:
+            await asyncio.sleep(0.001)
+        node.app.go.set()
+        response = await asyncio.wait_for(reader.read(), 30)
+        writer.close()
+        await _check_nothing_held(node)
+    assert response.startswith(b'HTTP/1.1 200')
+    assert node.app.started == 1
+
+
+async def test_request_on_an_idle_connection_has_just_moved() -> None:
+    """Without memory it would otherwise give way before any other."""
+    async with _running_node() as node:
+        _, writer = await node.connect()
+        await asyncio.sleep(0.2)
+        began_ms = node.app.clock.now()
+        writer.write(b'GET / HTTP/1.1\r\n')
+        while not any(conn.held_bytes for conn in node.connections):
+            await asyncio.sleep(0.001)
+        assert next(iter(node.connections)).progress_ms >= began_ms - 1
+        writer.close()
+
+
+async def test_refusal_survives_malformed_input_after_it() -> None:
+    """The connection stays open until the client has read the refusal."""
+    head = (
+        b'POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n'
+        b'x: %b\r\n\r\nno chunk' % (b'x' * 20_000)
+    )
+    async with _running_node() as node:
+        reader, writer = await node.connect()
+        writer.write(head)
+        response = await asyncio.wait_for(reader.read(), 30)
+        assert b'too-large' in response
+        assert node.connections
+        writer.close()
+        await _check_nothing_held(node)
+
+
 async def test_shutdown_completes_arriving_request() -> None:
     """A planned stop does not interrupt an upload that has begun."""
     async with _running_node() as node:
