Let nothing give way that holds nothing

A call that waits for a slow target was ranked among what does not move, and was given up before large bodies that do, as may-have-run, although that frees nothing. test_what_holds_nothing_is_not_dropped fails before.

--- a/src/savorystand/memory/account.py
+++ b/src/savorystand/memory/account.py
@@ -162,7 +162,7 @@
         ranked = [
             (holder.progress_ms < stalled_ms, holder.held_bytes, holder)
             for holder in self._holders
-            if holder is not asker
+            if holder is not asker and holder.held_bytes
         ]
         ranked.sort(key=lambda entry: entry[:2], reverse=True)
         chosen = []
--- a/tests/memory/test_account.py
+++ b/tests/memory/test_account.py
@@ -92,6 +92,20 @@
     assert (other.held_bytes, endless.held_bytes) == (_BODY_BYTES, 0)
 
 
+def test_what_holds_nothing_is_not_dropped() -> None:
+    """A call that waits for a slow target holds nothing, and must go on."""
+    node = _Node()
+    waiting = node.upload(0)
+    stopped = node.upload(SMALL_BYTES)
+    node.clock.advance(2000)
+    large = [node.upload(6 * SMALL_BYTES) for _ in range(2)]
+    for _ in range(6):
+        node.upload(SMALL_BYTES)
+    assert stopped.held_bytes == 0
+    assert [upload.held_bytes for upload in large].count(0) == 1
+    assert waiting.buffer is not None
+
+
 def test_what_never_fits_displaces_nothing() -> None:
     """A request beyond all memory must not cost others theirs."""
     node = _Node()
