End a stream that lost bytes in the soak's link with a reset

The stand-in link dropped a part of a body without a length and then closed in order, so that the rest looked complete. TCP never delivers an orderly end after lost bytes, so the node was right to take it.

--- a/src/savorystand/lab/soak/link.py
+++ b/src/savorystand/lab/soak/link.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from enum import Enum
 from typing import TYPE_CHECKING
 from typing import final
@@ -15,6 +17,8 @@
 
 _CHUNK_BYTES = 65536
 _DELAY_MS = 150
+# Value of SO_LINGER: on, for no time.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 @final
@@ -80,7 +84,9 @@
             while received := await reader.read(_CHUNK_BYTES):
                 if self.state is LinkState.DELAYED:
                     await asyncio.sleep(_DELAY_MS / MS_PER_SECOND)
-                is_cut = is_cut or self._loses(back=back)
+                if self._loses(back=back) and not is_cut:
+                    is_cut = True
+                    _end_with_reset(writer)
                 if not is_cut:
                     writer.write(received)
                     await writer.drain()
@@ -89,3 +95,12 @@
         if self.state is LinkState.SILENT:
             return True
         return back and self.state is LinkState.ONE_WAY
+
+
+def _end_with_reset(writer: asyncio.StreamWriter) -> None:
+    """Make the end of a connection a reset.
+
+    TCP never delivers an orderly end after bytes that were lost.
+    """
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
