Count queued frames and heads of responses in the memory account

Two holders still had a bound of their own. Frames queued for a peer were bounded to 256 KiB and 8 chunks a connection, which grows with the number of nodes: 195 machines could queue some 150 MB. Heads of responses were bounded to 64 KiB each. Both count now: a frame of an accepted call is queued also without room, and what comes next finds less; a head without room ends its exchange as may-have-run. HeldCount counts bytes that are not those of a body.

test_heads_without_end_leave_memory_to_others fails before: none of 20 endless heads was given up.

--- a/src/savorystand/gateway/http_connection.py
+++ b/src/savorystand/gateway/http_connection.py
@@ -13,13 +13,11 @@
 
 import asyncio
 import socket
-from functools import partial
 from typing import TYPE_CHECKING
 from typing import cast
 
 from savorystand.gateway.errors import TargetProtocolError
 from savorystand.gateway.response_reader import ResponseReader
-from savorystand.memory.buffer import HeldBuffer
 
 if TYPE_CHECKING:
     from savorystand.call import Body
@@ -94,8 +92,8 @@
 
     @property
     def held_bytes(self) -> int:
-        """Return the bytes of the body that arrives."""
-        return 0 if self._reader is None else len(self._reader.body)
+        """Return the bytes of the response that arrives."""
+        return 0 if self._reader is None else self._reader.held_bytes
 
     def drop(self) -> None:
         """Give up the response that arrives."""
@@ -131,7 +129,7 @@
         reader = ResponseReader(
             matcher=matcher,
             on_head=on_head,
-            create_buffer=partial(HeldBuffer, account=self._account),
+            account=self._account,
             holder=self,
         )
         self._account.add_holder(self)
--- a/src/savorystand/gateway/response_reader.py
+++ b/src/savorystand/gateway/response_reader.py
@@ -15,10 +15,12 @@
 from savorystand.gateway.headers import header_name
 from savorystand.memory.buffer import HeldBuffer
 from savorystand.memory.errors import MemoryShortError
+from savorystand.memory.held_count import HeldCount
 from savorystand.transport.conversion import MAX_BODY_BYTES
 
 if TYPE_CHECKING:
     from savorystand.call import Headers
+    from savorystand.memory.account import MemoryAccount
     from savorystand.memory.holder import Holder
 
 # Function that returns True if headers are those of the response to the request
@@ -26,10 +28,12 @@
 ResponseMatcher: TypeAlias = Callable[['Headers'], bool]
 # Function that gets the status and headers of each final response.
 HeadObserver: TypeAlias = Callable[[int, 'Headers'], None]
-# Function that returns an empty buffer for a body.
-BufferFactory: TypeAlias = Callable[[], HeldBuffer]
 
 _MAX_HEADER_BYTES = 65536
+# Smaller heads are not counted as memory.
+_MIN_COUNTED_BYTES = 4096
+# The parser joins the parts of an incomplete header.
+_HEAD_COPIES = 2
 _MIN_INTERIM_STATUS = 100
 _MIN_FINAL_STATUS = 200
 # No request asks to switch protocols, after which no response would follow.
@@ -47,7 +51,9 @@
     """
 
     __slots__ = (
-        '_create_buffer',
+        '_account',
+        '_head',
+        '_header_bytes',
         '_holder',
         '_matcher',
         '_on_head',
@@ -68,17 +74,20 @@
         *,
         matcher: ResponseMatcher | None,
         on_head: HeadObserver | None,
-        create_buffer: BufferFactory,
+        account: MemoryAccount,
         holder: Holder,
     ) -> None:
         """Read a response; see ``HttpConnection.exchange``.
 
-        ``holder`` holds the buffers that ``create_buffer`` returns.
+        ``holder`` holds what counts towards ``account``.
         """
         self._matcher = matcher
         self._on_head = on_head
-        self._create_buffer = create_buffer
+        self._account = account
         self._holder = holder
+        self._head = HeldCount(account=account)
+        # Size of the names and values of complete headers.
+        self._header_bytes = 0
         self._parser = HttpResponseParser(self)
         self._other_responses = 0
         # Bytes received since the parser completed the headers or passed on a
@@ -91,7 +100,7 @@
         self.headers: list[tuple[str, str]] = []
         # In one piece: a chunked body may have parts of one byte, each of which
         # would take the memory of an object.
-        self.body = create_buffer()
+        self.body = HeldBuffer(account=account)
         self.status = 0
         self.complete = False
         self.keep_alive = False
@@ -115,6 +124,12 @@
                 f'headers or trailers of the response exceed '
                 f'{_MAX_HEADER_BYTES} bytes'
             )
+        self._count_head()
+
+    @property
+    def held_bytes(self) -> int:
+        """Return what is held of the response so far."""
+        return self._head.size + len(self.body)
 
     def on_message_begin(self) -> None:
         """Check that no further response follows the expected one."""
@@ -131,6 +146,7 @@
         if self.complete:
             return
         self.headers.append((header_name(name), text.decode('latin-1')))
+        self._header_bytes += len(name) + len(text)
 
     def on_headers_complete(self) -> None:
         """Report the headers of a final response."""
@@ -156,9 +172,7 @@
         try:
             self.body.add(body, self._holder)
         except MemoryShortError as exc:
-            raise TargetProtocolError(
-                f'the node has no memory for the response: {exc}'
-            ) from exc
+            raise _no_memory(exc) from exc
 
     def on_message_complete(self) -> None:
         """Finish, unless the response is an interim or a late one."""
@@ -209,9 +223,21 @@
         until a cyclic collection.
         """
         del self._parser
+        self._head.resize(0)
         self.headers.clear()
         del self.body
 
+    def _count_head(self) -> None:
+        size = _HEAD_COPIES * self._unparsed_bytes + self._header_bytes
+        if size <= _MIN_COUNTED_BYTES:
+            size = 0
+        if size == self._head.size:
+            return
+        try:
+            self._head.resize(size, self._holder)
+        except MemoryShortError as exc:
+            raise _no_memory(exc) from exc
+
     def _matches_request(self) -> bool:
         return self._matcher is None or self._matcher(tuple(self.headers))
 
@@ -223,7 +249,8 @@
                 'the request'
             )
         self.headers.clear()
-        self.body = self._create_buffer()
+        self.body = HeldBuffer(account=self._account)
+        self._header_bytes = 0
         self.headers_complete = False
 
 
@@ -232,3 +259,9 @@
     if is_interim:
         return status != _SWITCHING_PROTOCOLS
     return is_final_status(status)
+
+
+def _no_memory(exc: MemoryShortError) -> TargetProtocolError:
+    return TargetProtocolError(
+        f'the node has no memory for the response: {exc}'
+    )
--- a/src/savorystand/transport/connection.py
+++ b/src/savorystand/transport/connection.py
@@ -101,7 +101,7 @@
     ) -> None:
         """Create the client side; ``run`` attaches it to a byte stream.
 
-        Bodies of responses count towards ``account``. ``on_load`` gets load reports. ``on_control`` gets control frames: all
+        Long bodies and queued frames count towards ``account``. ``on_load`` gets load reports. ``on_control`` gets control frames: all
         frames that are no load report, no pong and no part of a response or
         refusal. ``on_frame`` gets each frame that is sent or received, and its
         encoded length.
@@ -109,11 +109,9 @@
         self._clock = clock
         self._on_frame = on_frame
         self._on_control = on_control
-        self._pending = PendingCalls(
-            on_load=on_load,
-            account=account or MemoryAccount(clock=clock),
-        )
-        self._writer = FrameWriter(on_frame=on_frame)
+        account = account or MemoryAccount(clock=clock)
+        self._pending = PendingCalls(on_load=on_load, account=account)
+        self._writer = FrameWriter(account=account, on_frame=on_frame)
         self._last_received_ms = clock.now()
         self._pong_received = anyio.Event()
         self._frame_buffer = FrameBuffer()
--- a/src/savorystand/transport/server.py
+++ b/src/savorystand/transport/server.py
@@ -69,16 +69,15 @@
     ) -> None:
         """Create the server side; ``run`` attaches it to a byte stream.
 
-        Calls in progress and their bodies count towards ``account``.
+        Calls in progress, bodies and queued frames count towards ``account``.
         """
         self._clock = clock
         self._inbound = inbound
         self._control = control
         self._frame_buffer = FrameBuffer()
-        self._writer = FrameWriter()
-        self._incoming = IncomingCalls(
-            account=account or MemoryAccount(clock=clock)
-        )
+        account = account or MemoryAccount(clock=clock)
+        self._writer = FrameWriter(account=account)
+        self._incoming = IncomingCalls(account=account)
         self._calls: dict[int, asyncio.Task[None]] = {}
 
     async def run(self, stream: ByteStream) -> None:
--- a/src/savorystand/transport/writer.py
+++ b/src/savorystand/transport/writer.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from savorystand.memory.held_count import HeldCount
 from savorystand.transport.conversion import chunk_frames
 from savorystand.transport.direct import DirectStream
 from savorystand.wire.codec import Message
@@ -19,6 +20,7 @@
     from anyio.abc import ByteSendStream
 
     from savorystand.call import Body
+    from savorystand.memory.account import MemoryAccount
 
 FrameObserver: TypeAlias = 'Callable[[Message, int], None]'
 
@@ -38,6 +40,7 @@
 
     __slots__ = (
         '_chunks',
+        '_held',
         '_on_frame',
         '_space_freed',
         '_short_bytes',
@@ -46,11 +49,17 @@
         '_wake',
     )
 
-    def __init__(self, *, on_frame: FrameObserver | None = None) -> None:
-        """Create an empty queue.
+    def __init__(
+        self,
+        *,
+        account: MemoryAccount,
+        on_frame: FrameObserver | None = None,
+    ) -> None:
+        """Create an empty queue, whose frames count towards ``account``.
 
         ``on_frame`` is called with each frame and its encoded length.
         """
+        self._held = HeldCount(account=account)
         self._on_frame = on_frame
         # Writes without the queue, if the stream supports that.
         self._try_send: Callable[[bytes], bool] | None = None
@@ -76,6 +85,7 @@
         if self._try_send is not None and self.idle():
             if self._try_send(encoded):
                 return
+        self._held.add(len(encoded))
         self._short_frames.append(encoded)
         self._short_bytes += len(encoded)
         self._wake.set()
@@ -113,6 +123,7 @@
                 return
             if self._on_frame is not None:
                 self._on_frame(frame, len(encoded))
+            self._held.add(len(encoded))
             self._chunks.append(encoded)
             self._wake.set()
 
@@ -137,7 +148,9 @@
             if self.idle():
                 self._wake = anyio.Event()
                 await self._wake.wait()
-            await stream.send(self._next_batch())
+            batch = self._next_batch()
+            await stream.send(batch)
+            self._held.add(-len(batch))
 
     async def _wait_for_space(self) -> None:
         # Several bodies may wait for the same event, so that it is replaced
--- a/tests/gateway/test_target_client.py
+++ b/tests/gateway/test_target_client.py
@@ -281,3 +281,27 @@
                 target.resumed.set()
     assert [outcome.is_ok() for outcome in outcomes].index(True) == 20
     assert outcomes[-1].ok.body == b'whole'
+
+
+@pytest.mark.anyio
+async def test_heads_without_end_leave_memory_to_others() -> None:
+    """Many heads without end must not fill the memory of the node together."""
+    head = b'HTTP/1.1 200 OK\r\nx: %b' % (b'y' * 60_000)
+    target = _Target(*((head, _PAUSE) for _ in range(20)))
+    account = MemoryAccount(clock=Clock(), max_bytes=1_000_000)
+    outcomes: list[Outcome] = []
+
+    async def send(client: TargetClient) -> None:
+        outcomes.append(await _send(client, 60_000))
+
+    async with _client(target, account) as client:
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as tasks:
+                for _ in range(20):
+                    tasks.start_soon(send, client)
+                while target.requests < 20 or len(outcomes) < 12:
+                    await anyio.sleep(0.01)
+                assert account.held_bytes <= 1_000_000
+                tasks.cancel_scope.cancel()
+    assert all(outcome.is_error() for outcome in outcomes)
+    assert account.held_bytes == 0
--- a/tests/transport/test_writer.py
+++ b/tests/transport/test_writer.py
@@ -12,6 +12,7 @@
 import pytest
 
 from savorystand.clock import ManualClock
+from savorystand.memory.account import MemoryAccount
 from savorystand.transport.connection import PeerConnection
 from savorystand.transport.writer import FrameWriter
 from savorystand.verdict import MayHaveRun
@@ -64,7 +65,7 @@
 async def test_concurrent_bodies_arrive_complete() -> None:
     """Every body that waits for space is continued until its end."""
     decoding_stream = _DecodingStream()
-    writer = FrameWriter()
+    writer = FrameWriter(account=MemoryAccount(clock=ManualClock()))
     with anyio.fail_after(30):
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(writer.run, decoding_stream)
@@ -132,10 +133,12 @@
     What was not queued has not run.
     """
     clock = ManualClock()
+    account = MemoryAccount(clock=clock)
     conn = PeerConnection(
         clock=clock,
         on_load=_ignore_load,
         on_control=lambda frame: None,
+        account=account,
     )
     outcomes: list[Outcome] = []
 
@@ -151,6 +154,8 @@
                 tasks.start_soon(call)
             await let_tasks_run()
             assert conn.in_flight == 100
+            # The queue and the batch that is written.
+            assert 200_000 < account.held_bytes < 600_000
             if cause == 'deadline':
                 clock.advance(1500)
             else:
