Give the standalone node the memory account too

Its listeners bounded unfinished bodies to 512 MiB each, on machines of 200 to 552 MB, and complete ones not at all. The setting limits.memory_mb (300 without it) limits an account that bodies, calls, responses and frames draw on, as beside a worker. MAX_UNFINISHED_BYTES and TooManyBodiesError are gone. Responses to callers move out of the application, which had grown past its imports.

Changed check: test_unfinished_bodies_are_bounded set that constant to 10 bytes and now sets an account of 21; as before, a new body in parts is refused and the one begun completes.

--- a/src/savorystand/gateway/application.py
+++ b/src/savorystand/gateway/application.py
@@ -15,9 +15,7 @@
 from savorystand.call import Call
 from savorystand.call import CallContext
 from savorystand.call import Outcome
-from savorystand.call import Response
 from savorystand.clock import Clock
-from savorystand.deduplication.runner import KeyedRunner
 from savorystand.dispatch.dispatcher import Dispatcher
 from savorystand.gateway import headers as header_names
 from savorystand.gateway.admin import AdminEndpoints
@@ -28,24 +26,22 @@
 from savorystand.gateway.asgi import RequestTooLargeError
 from savorystand.gateway.asgi import Scope
 from savorystand.gateway.asgi import Send
-from savorystand.gateway.asgi import TooManyBodiesError
 from savorystand.gateway.asgi import request_headers
 from savorystand.gateway.asgi import request_path
 from savorystand.gateway.asgi import send_response
+from savorystand.gateway.caller_responses import answer_response
+from savorystand.gateway.caller_responses import refusal_response
 from savorystand.gateway.contexts import ContextFactory
 from savorystand.gateway.contexts import Request
 from savorystand.gateway.protocol import set_disconnect_callback
-from savorystand.gateway.refusals import refusal_body
-from savorystand.gateway.refusals import retry_after
-from savorystand.gateway.refusals import status_of
+from savorystand.memory.account import find_memory
+from savorystand.memory.errors import MemoryShortError
 from savorystand.retry.executions import Execution
 from savorystand.retry.executions import ExecutionRegistry
 from savorystand.tables.holder import TablesHolder
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
-from savorystand.verdict import Refusal
 from savorystand.verdict import refuse_undispatched
-from savorystand.verdict import verdict_name
 
 if TYPE_CHECKING:
     from savorystand.kernel.kernel import Kernel
@@ -54,14 +50,6 @@
 _ADMIN_PREFIX = '/savorystand/'
 _MAX_ATTEMPT_DIGITS = 6
 _CONNECTION_CLOSE = (('connection', 'close'),)
-_REASONS_WITH_NEW_KEY = frozenset(
-    (
-        Reason.FORGOTTEN,
-        Reason.HOME_LOST,
-        Reason.KEY_REQUIRED,
-        Reason.STORE_UNAVAILABLE,
-    )
-)
 
 
 @final
@@ -98,7 +86,7 @@
         self._clock = kernel.find('clock', Clock)
         self._source = source
         self._closing = False
-        self._bodies = BodyReader()
+        self._bodies = BodyReader(account=find_memory(kernel))
         self._contexts = ContextFactory(kernel=kernel)
         self._admin = kernel.find('admin', AdminEndpoints)
 
@@ -115,9 +103,9 @@
         except RequestTooLargeError as exc:
             await self._refuse_unread_request(send, Reason.TOO_LARGE, str(exc))
             return
-        except TooManyBodiesError:
+        except MemoryShortError:
             await self._refuse_unread_request(
-                send, Reason.OVERLOADED, 'too many unfinished request bodies'
+                send, Reason.OVERLOADED, 'the node has no memory for the body'
             )
             return
         # A client that disconnects cancels the processing of its request.
@@ -142,8 +130,8 @@
     ) -> None:
         # The rest of the request is not read. The connection is closed after
         # the response.
-        response = self._refusal_response(
-            NotRun(reason=reason, detail=detail), ''
+        response = refusal_response(
+            self._kernel, NotRun(reason=reason, detail=detail), ''
         )
         response = replace(
             response, headers=response.headers + _CONNECTION_CLOSE
@@ -182,7 +170,7 @@
                 detail=detail,
                 no_earlier_run=not key or _attempt_number(request) == 1,
             )
-            return self._refusal_response(refusal, '')
+            return refusal_response(self._kernel, refusal, '')
         return await self._serve_route(request, route)
 
     async def _serve_route(
@@ -196,9 +184,11 @@
                 context, outcome = await self._serve_target_call(request, route)
         match outcome:
             case Result(tag='ok', ok=response):
-                return _http_response(response, context)
+                return answer_response(response, context)
             case Result(error=refusal):
-                return self._refusal_response(refusal, context.request_id)
+                return refusal_response(
+                    self._kernel, refusal, context.request_id
+                )
 
     async def _serve_target_call(
         self,
@@ -245,26 +235,6 @@
             ),
         )
 
-    def _refusal_response(
-        self, refusal: Refusal, request_id: str
-    ) -> HttpResponse:
-        status = status_of(refusal)
-        headers = [
-            ('content-type', 'application/json'),
-            (header_names.VERDICT, verdict_name(refusal)),
-            (header_names.REQUEST_ID, request_id),
-        ]
-        if status in {429, 503}:
-            headers.append((header_names.RETRY_AFTER, retry_after(refusal)))
-        if refusal.reason in _REASONS_WITH_NEW_KEY:
-            issuer = self._kernel.find('keys', KeyedRunner).issuer
-            headers.append((header_names.IDEMPOTENCY_KEY, issuer.issue()))
-        return HttpResponse(
-            status=status,
-            headers=tuple(headers),
-            body=refusal_body(refusal, request_id),
-        )
-
 
 def _attempt_number(request: Request) -> int:
     text = header_names.header(request.headers, header_names.ATTEMPT)
@@ -273,18 +243,6 @@
     return int(text)
 
 
-def _http_response(response: Response, context: CallContext) -> HttpResponse:
-    node_headers = (
-        (header_names.VERDICT, 'answered'),
-        (header_names.REQUEST_ID, context.request_id),
-    )
-    return HttpResponse(
-        status=response.status,
-        headers=header_names.forwarded_headers(response.headers) + node_headers,
-        body=response.body,
-    )
-
-
 def _return_retries(
     registry: ExecutionRegistry,
     execution: Execution,
--- a/src/savorystand/gateway/asgi.py
+++ b/src/savorystand/gateway/asgi.py
@@ -32,27 +32,18 @@
 MAX_HEADER_BYTES = 16384
 # Longest body of a request.
 MAX_BODY_BYTES = 16777216
-# Bound on the unfinished bodies of one listener in bytes. Beyond it
-# ``BodyReader`` refuses further requests whose body arrives in parts, and still
-# reads bodies that have begun to arrive. ``RequestProtocol`` also refuses the
-# latter when their next part arrives.
-MAX_UNFINISHED_BYTES = 536870912
 
 
 class RequestTooLargeError(Exception):
     """The path, headers, key or body of a request exceed a bound."""
 
 
-class TooManyBodiesError(Exception):
-    """The unfinished bodies of a listener exceed ``MAX_UNFINISHED_BYTES``."""
-
-
 class RequestAbortedError(Exception):
     """The client closed the connection before the body was complete."""
 
 
 # A request whose body cannot be read gets no response of the application.
-UNREAD_ERRORS = (RequestAbortedError, RequestTooLargeError, TooManyBodiesError)
+UNREAD_ERRORS = (RequestAbortedError, RequestTooLargeError, MemoryShortError)
 
 
 @final
@@ -120,41 +111,32 @@
 
 
 class BodyReader:
-    """Reads request bodies, with a bound on the memory of unfinished ones.
+    """Reads request bodies into the memory account.
 
     All requests of a listener share one reader.
     """
 
-    __slots__ = ('_account', '_unfinished_bytes')
+    __slots__ = ('_account',)
 
     def __init__(self, *, account: MemoryAccount | None = None) -> None:
-        """Start with no unfinished bodies; they count towards ``account``."""
+        """Count bodies towards ``account``."""
         self._account = account or MemoryAccount(clock=Clock())
-        # Received bytes of all bodies that are incomplete.
-        self._unfinished_bytes = 0
 
     async def read(self, receive: Receive) -> Body:
         """Return the complete body of a request.
 
         Raises:
             RequestTooLargeError: it exceeds ``MAX_BODY_BYTES``.
-            TooManyBodiesError: it arrives in parts while the unfinished
-                bodies exceed ``MAX_UNFINISHED_BYTES``, or there is no memory.
+            MemoryShortError: there is no room for it.
             RequestAbortedError: the client disconnected before its end.
         """
         message = await receive()
-        if message['type'] == 'http.request' and not message.get('more_body'):
-            return _check_body_size(message.get('body', b''))
-        if self._unfinished_bytes > MAX_UNFINISHED_BYTES:
-            raise TooManyBodiesError
+        if message['type'] == 'http.request' and not message.get('body'):
+            if not message.get('more_body'):
+                return b''
         # In one piece: the parts of a chunked body may have one byte each.
         body = HeldBuffer(account=self._account)
-        try:
-            await self._receive_parts(message, receive, body)
-        except MemoryShortError as exc:
-            raise TooManyBodiesError from exc
-        finally:
-            self._unfinished_bytes -= len(body)
+        await self._receive_parts(message, receive, body)
         return body
 
     async def _receive_parts(
@@ -174,7 +156,6 @@
                     f'{MAX_BODY_BYTES}'
                 )
             body.add(part)
-            self._unfinished_bytes += len(part)
             if not message.get('more_body'):
                 return
             message = await receive()
@@ -190,7 +171,7 @@
 
     Raises:
         RequestTooLargeError: it exceeds ``MAX_BODY_BYTES``.
-        TooManyBodiesError: there is no memory for it.
+        MemoryShortError: there is no room for it.
         RequestAbortedError: the client disconnected before its end.
     """
     return bytes(await BodyReader(account=account).read(receive))
@@ -215,11 +196,3 @@
         }
     )
     await send({'type': 'http.response.body', 'body': response.body})
-
-
-def _check_body_size(body: Body) -> Body:
-    if len(body) > MAX_BODY_BYTES:
-        raise RequestTooLargeError(
-            f'body of {len(body)} bytes, expected at most {MAX_BODY_BYTES}'
-        )
-    return body
--- a/src/savorystand/node/application.py
+++ b/src/savorystand/node/application.py
@@ -10,6 +10,7 @@
 import anyio
 import click
 
+from savorystand.memory.allocator import tune_allocator
 from savorystand.node.builder import build_node
 from savorystand.node.identity import new_node_id
 from savorystand.reporting.logs import log_handler
@@ -50,6 +51,7 @@
         cfg = load_settings(settings)
     except SettingsError as exc:
         _exit_with_error(str(exc), EXIT_SETTINGS)
+    tune_allocator()
     log_handler().push_application()
     try:
         run_node(cfg, replace={})
--- a/src/savorystand/node/builder.py
+++ b/src/savorystand/node/builder.py
@@ -19,6 +19,7 @@
 from savorystand.gateway.server import HttpListener
 from savorystand.gateway.target_client import TargetClient
 from savorystand.kernel.kernel import Kernel
+from savorystand.memory.account import MemoryAccount
 from savorystand.node.factories import dispatch_factories
 from savorystand.node.factories import policy_factories
 from savorystand.node.factories import state_factories
@@ -57,8 +58,15 @@
     factories = {
         'clock': lambda kernel: Clock(),
         **network_factories(cfg, replace),
+        'log': lambda kernel: EventLog(
+            clock=kernel.find('clock', Clock),
+            node_id=node_id,
+        ),
+        'memory': lambda kernel: MemoryAccount.for_process(
+            kernel, cfg.memory_mb
+        ),
         **_state_factories(cfg, node_id),
-        **reporting_factories(cfg, node_id),
+        **reporting_factories(cfg),
         **policy_factories(),
         **_call_factories(cfg, node_id),
         **_listener_factories(cfg),
@@ -90,6 +98,7 @@
             clock=kernel.find('clock', Clock),
             host=cfg.target.host,
             port=cfg.target.port,
+            account=kernel.find('memory', MemoryAccount),
             may_start=kernel.find('local pool', LocalPool).may_start,
         ),
         **dispatch_factories(node_id),
--- a/src/savorystand/reporting/setup.py
+++ b/src/savorystand/reporting/setup.py
@@ -7,7 +7,6 @@
 from savorystand.clock import Clock
 from savorystand.reporting.counters import Counters
 from savorystand.reporting.decisions import Decisions
-from savorystand.reporting.logs import EventLog
 from savorystand.reporting.reporter import CallReporter
 from savorystand.reporting.statsd import StatsdSender
 from savorystand.reporting.traffic import Traffic
@@ -19,21 +18,17 @@
     from savorystand.settings.node import NodeSettings
 
 
-def reporting_factories(cfg: NodeSettings, node_id: str) -> dict[str, Factory]:
+def reporting_factories(cfg: NodeSettings) -> dict[str, Factory]:
     """Return the factories of the reporting services by service name.
 
-    The kernel has to build these services after ``clock`` and ``tables``, and
-    before the services that look up ``observer`` at construction.
+    The kernel has to build these services after ``clock``, ``log`` and
+    ``tables``, and before those that look up ``observer`` at construction.
     """
     return {
         'counters': lambda kernel: Counters(clock=kernel.find('clock', Clock)),
         'decisions': lambda kernel: Decisions(
             clock=kernel.find('clock', Clock),
         ),
-        'log': lambda kernel: EventLog(
-            clock=kernel.find('clock', Clock),
-            node_id=node_id,
-        ),
         'metrics': lambda kernel: StatsdSender(
             clock=kernel.find('clock', Clock),
             counters=kernel.find('counters', Counters),
--- a/src/savorystand/settings/entries.py
+++ b/src/savorystand/settings/entries.py
@@ -72,6 +72,21 @@
             raise self.error(name, 'does not fit in an HTTP header', remedy)
         return entry
 
+    def integer(self, name: str, allowed: range) -> int:
+        """Return an integer that is one of ``allowed``.
+
+        Raises:
+            SettingsError: the entry is missing or not of this kind.
+        """
+        entry = self._required(name)
+        # True and false are integers in Python.
+        is_integer = isinstance(entry, int) and not isinstance(entry, bool)
+        if is_integer and entry in allowed:
+            return int(entry)
+        largest = max(allowed)
+        problem = f'is not an integer from {allowed.start} to {largest}'
+        raise self.error(name, problem, 'write one without quotes')
+
     def address(self, name: str) -> Address:
         """Return an address written as ``IP:PORT``.
 
--- a/src/savorystand/settings/loader.py
+++ b/src/savorystand/settings/loader.py
@@ -8,6 +8,7 @@
 from savorystand.settings.addresses import is_loopback
 from savorystand.settings.entries import Entries
 from savorystand.settings.errors import SettingsError
+from savorystand.settings.node import DEFAULT_MEMORY_MB
 from savorystand.settings.node import NodeSettings
 from savorystand.settings.node import TlsSettings
 from savorystand.toml.reader import TomlError
@@ -21,6 +22,9 @@
     from savorystand.toml.reader import TomlText
 
 _MAX_FILE_BYTES = 65536
+# A node without callers needs about 60 MB.
+_MIN_MEMORY_MB = 100
+_MAX_MEMORY_MB = 1000000
 _SECTION_ENTRIES = MappingProxyType(
     {
         'listen': ('callers', 'local', 'peers'),
@@ -30,9 +34,10 @@
         'admin': ('key',),
         'metrics': ('statsd',),
         'tls': ('certificate', 'key', 'authority'),
+        'limits': ('memory_mb',),
     }
 )
-_OPTIONAL_SECTIONS = ('metrics', 'tls')
+_OPTIONAL_SECTIONS = ('metrics', 'tls', 'limits')
 _TOP_LEVEL_ENTRIES = ('failure_domain', 'region')
 
 
@@ -63,6 +68,7 @@
         admin_key=sections['admin'].secret('key'),
         statsd=_read_statsd(text, sections['metrics']),
         tls=_read_tls(text, sections['tls']),
+        memory_mb=_read_memory(text, sections['limits']),
     )
     _check_listen_addresses(settings, sections['listen'])
     return settings
@@ -137,6 +143,12 @@
     )
 
 
+def _read_memory(text: TomlText, entries: Entries) -> int:
+    if not text.entries.get('limits'):
+        return DEFAULT_MEMORY_MB
+    return entries.integer('memory_mb', range(_MIN_MEMORY_MB, _MAX_MEMORY_MB))
+
+
 def _check_listen_addresses(settings: NodeSettings, listen: Entries) -> None:
     if not is_loopback(settings.local):
         remedy = 'use an address in 127.0.0.0/8'
--- a/src/savorystand/settings/node.py
+++ b/src/savorystand/settings/node.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 from typing import final
 
+# Memory of a process whose settings name none.
+DEFAULT_MEMORY_MB = 300
+
 
 @final
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -36,7 +39,7 @@
 
     A node has no other settings. ``peers`` is used for TCP and UDP. ``seeds``
     are peer addresses that the node contacts first; one that responds is
-    enough.
+    enough. ``memory_mb`` is the memory in megabytes that its process may use.
     """
 
     failure_domain: str
@@ -52,3 +55,4 @@
     admin_key: str
     statsd: Address | None = None
     tls: TlsSettings | None = None
+    memory_mb: int = DEFAULT_MEMORY_MB
--- a/tests/gateway/test_bounds.py
+++ b/tests/gateway/test_bounds.py
@@ -21,10 +21,13 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from savorystand.clock import Clock
 from savorystand.gateway import asgi
 from savorystand.gateway import protocol
 from savorystand.lab.corpus.cases import Kind
 from savorystand.lab.corpus.cases import load_cases
+from savorystand.memory.account import MemoryAccount
+from savorystand.memory.errors import MemoryShortError
 from tests.reporting.nodes import running_node
 from tests.wire.test_codec import mutations
 
@@ -146,12 +149,10 @@
 
 
 @pytest.mark.anyio
-async def test_unfinished_bodies_are_bounded(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """Beyond the bound new bodies are refused, and a started one completes."""
-    monkeypatch.setattr(asgi, 'MAX_UNFINISHED_BYTES', 10)
-    reader = asgi.BodyReader()
+async def test_unfinished_bodies_are_bounded() -> None:
+    """Without memory new bodies are refused, and a started one completes."""
+    account = MemoryAccount(clock=Clock(), max_bytes=21)
+    reader = asgi.BodyReader(account=account)
     parts = [b'x' * 20, b'y']
     resume = anyio.Event()
     bodies = []
@@ -164,7 +165,7 @@
         return {'type': 'http.request', 'body': body, 'more_body': more}
 
     async def receive_first_part() -> dict[str, object]:
-        return {'type': 'http.request', 'body': b'z', 'more_body': True}
+        return {'type': 'http.request', 'body': b'zz', 'more_body': True}
 
     async def read() -> None:
         bodies.append(await reader.read(receive))
@@ -172,7 +173,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(read)
         await anyio.wait_all_tasks_blocked()
-        with pytest.raises(asgi.TooManyBodiesError):
+        with pytest.raises(MemoryShortError):
             await reader.read(receive_first_part)
         resume.set()
     assert [len(body) for body in bodies] == [21]
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -63,6 +63,9 @@
     (f'"{_SECRET}"\n[', f'["{_SECRET}"]\n[', 16, 'key: is not a string'),
     ('[admin]', '[tls]\nkey = "a"\n[admin]', 17, 'certificate: is missing'),
     ('[target]', '[[target]]', 7, 'not a table'),
+    ('[admin]', '[limits]\nmemory_mb = "9"\n[admin]', 18, 'not an integer'),
+    ('[admin]', '[limits]\nmemory_mb = 99\n[admin]', 18, 'from 100'),
+    ('[admin]', '[limits]\nmemory_mb = true\n[admin]', 18, 'not an integer'),
     ('[listen]', '\x00', 3, 'not valid TOML'),
 )
 
@@ -112,3 +115,10 @@
     assert cfg.statsd.port == 8125
     assert cfg.tls is not None
     assert cfg.tls.authority == 'a'
+    assert cfg.memory_mb == 300
+
+
+def test_memory_is_loaded(tmp_path: Path) -> None:
+    """An account for more than the machine has would not protect it."""
+    text = f'{_SETTINGS}[limits]\nmemory_mb = 200\n'
+    assert load_settings(_write_settings(tmp_path, text)).memory_mb == 200
