--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,76 +1,76 @@
-"""A worker reads an upload slowly, while the machine of its client is stopped."""
+"""A ping of another writer names a service that there isn't."""
 
 from __future__ import annotations
 
 import asyncio
-import os
-import signal
 from contextlib import AsyncExitStack
 from pathlib import Path
 
-from stage_3.lost import cut_requests
 from stage_3.record import Record
-from stage_3.routes import route
 from stage_3.stage import Stage, has_trouble, request_bytes, run_case, send
 
-_LIMIT_MS = 8000
-_UPLOADS = 4
-_BODY_BYTES = 16000000
-_PART_BYTES = 100000
-# The worker reads nothing for this time.
-_PAUSE_S = 2.5
-
-
-async def _work(request) -> tuple[int, bytes]:
-    await asyncio.sleep(0.1)
-    return 200, b'done'
-
-
-async def _read_slowly(reader: asyncio.StreamReader, length: int) -> bytes:
-    """Read a part of an upload, work on it for a while, and read the rest."""
-    first = await reader.readexactly(min(length, _PART_BYTES))
-    if length > _PART_BYTES:
-        await asyncio.sleep(_PAUSE_S)
-    return first + await reader.readexactly(length - len(first))
+ROUTES = [
+    {
+        'name': 'bin-level',
+        'prefix': '/bins/',
+        'service': 'binwatch',
+        'routeKind': 'safe',
+        'timeoutMs': 5000,
+        'targetLatencyMs': 1200,
+        'priority': 2,
+        'maxAttempts': 3,
+    },
+    {
+        'name': 'refill-confirm',
+        'prefix': '/refill/',
+        'service': 'refill',
+        'routeKind': 'non_idempotent',
+        'timeoutMs': 5000,
+        'targetLatencyMs': 1500,
+        'priority': 0,
+        'maxAttempts': 3,
+    },
+]
+# The service of the machine at which all requests begin.
+_OWN = 'refill'
+_REQUESTS = 200
+_GAP_S = 0.1
+_PING_AFTER = 50
 
 
 async def case(record: Record, stack: AsyncExitStack) -> bool:
-    """Return False if uploads are cut after the SIGTERM."""
-    stage = Stage(services=['binwatch', 'routebook'], record=record)
-    stage.configure([route('photos', 'routebook', 'non_idempotent', 10000)])
-    await stage.start(stack, _work)
-    if has_trouble() and os.environ.get('PAUSE', '1') != '0':
-        for worker in stage.workers:
-            worker.read_body = _read_slowly
-    node = stage.nodes[0]
-    ids = [f'upload{number:03}' for number in range(_UPLOADS)]
+    """Return False if a worker ran a request with a wrong Caller-Service."""
+    stage = Stage(
+        services=[_OWN, 'refill', 'binwatch', 'binwatch'], record=record
+    )
+    stage.configure(ROUTES)
+    await stage.start(stack)
+    worker = stage.workers[0]
     async with asyncio.TaskGroup() as tasks:
-        for request_id in ids:
-            request = request_bytes(
-                'POST',
-                '/photos/1',
-                request_id,
-                deadline_ms=_LIMIT_MS,
-                body=b'x' * _BODY_BYTES,
+        for number in range(_REQUESTS):
+            if number == _PING_AFTER and has_trouble():
+                await _post_foreign_ping(record, worker)
+            path, method = (
+                ('/bins/7', 'GET') if number % 2 else ('/refill/7', 'POST')
             )
-            tasks.create_task(
-                send(record, node.outbound, request_id, request, 10)
-            )
-        await asyncio.sleep(0.7)
-        signal_at = record.now()
-        if has_trouble():
-            node.send(signal.SIGTERM)
-            record.write('SIGTERM', 'node-0')
-    cut = cut_requests(record, ids, signal_at, _LIMIT_MS / 1000)
-    answered = [
-        entry
-        for entry in record.of('answered')
-        if entry.subject in ids and entry.details['signature']
-    ]
-    record.write('counted', 'uploads', answered=len(answered), cut=len(cut))
-    if not has_trouble() and len(answered) < len(ids):
-        raise RuntimeError('uploads fail without the disruption')
-    return not cut
+            request_id = f'r{number:04}'
+            request = request_bytes(method, path, request_id)
+            address = stage.nodes[0].outbound
+            tasks.create_task(send(record, address, request_id, request))
+            await asyncio.sleep(_GAP_S)
+    runs = record.of('run')
+    wrong = [run for run in runs if run.details['caller'] != _OWN]
+    record.write('counted', 'runs', all=len(runs), wrong_caller=len(wrong))
+    return not wrong
+
+
+async def _post_foreign_ping(record: Record, worker) -> None:
+    # Like a ping of the worker, but from another writer: with an id of its own
+    # and a service that is not in the configuration.
+    fields = {**worker.fields(), 'service': 'depot-archive', 'sequence': 1}
+    fields['born'] = worker.born + 1000
+    is_acknowledged = await worker.post_ping('i-foreign', fields)
+    record.write('foreign-ping', 'i-foreign', acknowledged=is_acknowledged)
 
 
 if __name__ == '__main__':
