--- a/review/stage_3/worker.py
+++ b/review/stage_3/worker.py
@@ -50,8 +50,6 @@
         self._running = 0
         self.sequence = 0
         self.state = 'ready'
-        # Whether all answers say that the worker leaves.
-        self.says_leaving = False
         # How the next bodies are read.
         self.read_body: Callable[
             [asyncio.StreamReader, int], Awaitable[bytes]
@@ -97,18 +95,6 @@
             return False
         return response.status == 200
 
-    async def deregister(self) -> bool:
-        """Say that it leaves; return True if that is acknowledged."""
-        host = '{}:{}'.format(*self.admin)
-        head = f'POST /Instances.Deregister/{self.instance} HTTP/1.1'
-        try:
-            response = await exchange(
-                self.admin, encode(head, {'Host': host}), 1
-            )
-        except (OSError, asyncio.IncompleteReadError):
-            return False
-        return response.status == 200
-
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -134,8 +120,6 @@
         length = int(request.get('content-length') or 0)
         load = f'{self._running},0,{self.capacity},100'
         headers = {'Request-Id': request_id, 'Server-Load': load}
-        if self.says_leaving:
-            headers['Server-Leaving'] = '1'
         if expected and expected != self.instance:
             await self.read_body(reader, length)
             self._record.write('misdirected', request_id, self.instance)
