End only the call that a node cannot take, not its connection

Cause: two rules that did not agree. The entry accepted each id that fits the operators' limits; the next node bounded ids to 128 characters without spaces, headers to 100, and raised FrameError, which closes the connection. A target caused the same from the other end with 120 headers in a response. Hypotheses in the postmortem; in a trial on a scratch copy with a log line where a connection ends, both nodes ended it, with 20 calls each, by "FrameError: text of 130 characters in a call exceeds 128".

Change: FrameError is raised only for bytes after which the stream cannot be decoded. What concerns one call raises CallError and ends that call, as not run at the receiver (new reason invalid-call, final, no fault of the target), as may-have-run at the caller. An error in a control frame costs that frame. A second call on a stream in use gets may-have-run and ends the first.

--- a/src/savorystand/gateway/asgi.py
+++ b/src/savorystand/gateway/asgi.py
@@ -17,7 +17,6 @@
 from savorystand.memory.buffer import HeldBuffer
 from savorystand.memory.errors import MemoryShortError
 from savorystand.transport.bounds import MAX_KEY_BYTES
-from savorystand.transport.bounds import MAX_PATH_BYTES
 
 if TYPE_CHECKING:
     from savorystand.call import Body
@@ -28,6 +27,8 @@
 Send: TypeAlias = Callable[[dict[str, Any]], Awaitable[None]]
 
 MAX_HEADERS = 64
+# Path including the query.
+MAX_PATH_BYTES = 8192
 _IDEMPOTENCY_KEY = b'idempotency-key'
 MAX_HEADER_BYTES = 16384
 # Longest body of a request.
--- a/src/savorystand/gateway/incoming_request.py
+++ b/src/savorystand/gateway/incoming_request.py
@@ -5,10 +5,10 @@
 from typing import TYPE_CHECKING
 
 from savorystand.gateway.asgi import MAX_HEADERS
+from savorystand.gateway.asgi import MAX_PATH_BYTES
 from savorystand.gateway.contexts import Request
 from savorystand.gateway.headers import header_name
 from savorystand.memory.buffer import HeldBuffer
-from savorystand.transport.bounds import MAX_PATH_BYTES
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 
--- a/src/savorystand/lab/corpus/decoders.py
+++ b/src/savorystand/lab/corpus/decoders.py
@@ -25,6 +25,7 @@
 from savorystand.transport.conversion import decode_response
 from savorystand.transport.loads import decode_refusal_load
 from savorystand.wire.codec import FrameBuffer
+from savorystand.wire.errors import CallError
 from savorystand.wire.errors import FrameError
 
 if TYPE_CHECKING:
@@ -34,7 +35,7 @@
     from savorystand.transport.address import PeerAddress
     from savorystand.wire.codec import Message
 
-_DECODE_ERRORS = (FrameError, SettingsError, TablesError)
+_DECODE_ERRORS = (CallError, FrameError, SettingsError, TablesError)
 _ROUTE = Route(
     name='bins',
     method='GET',
--- a/src/savorystand/retry/policy.py
+++ b/src/savorystand/retry/policy.py
@@ -31,6 +31,7 @@
         Reason.FORGOTTEN,
         Reason.HOME_LOST,
         Reason.IN_PROGRESS,
+        Reason.INVALID_CALL,
         Reason.KEY_REUSED,
         Reason.NO_TARGET,
         Reason.TOO_LARGE,
--- a/src/savorystand/routing/router.py
+++ b/src/savorystand/routing/router.py
@@ -49,6 +49,7 @@
         Reason.CANCELLED,
         Reason.DEADLINE,
         Reason.IN_PROGRESS,
+        Reason.INVALID_CALL,
         Reason.KEY_REQUIRED,
         Reason.KEY_REUSED,
         Reason.NO_ROUTE,
--- a/src/savorystand/transport/assembly.py
+++ b/src/savorystand/transport/assembly.py
@@ -8,7 +8,7 @@
 from savorystand.memory.account import MemoryAccount
 from savorystand.memory.buffer import HeldBuffer
 from savorystand.transport.conversion import CHUNK_BYTES
-from savorystand.wire.errors import FrameError
+from savorystand.wire.errors import CallError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -53,11 +53,11 @@
         has to give way before it is complete.
 
         Raises:
-            FrameError: the announced size is out of bounds.
+            CallError: the announced size is out of bounds.
             MemoryShortError: there is no room for the body.
         """
         if not 0 <= start.body_size <= _MAX_ANNOUNCED_BYTES:
-            raise FrameError(
+            raise CallError(
                 f'body size {start.body_size} is not in 0 to '
                 f'{_MAX_ANNOUNCED_BYTES}'
             )
@@ -93,16 +93,16 @@
         """Append a chunk and return True if it is the last one.
 
         Raises:
-            FrameError: the body is longer than announced, or a chunk before
+            CallError: the body is longer than announced, or a chunk before
                 the last one is shorter than ``CHUNK_BYTES``. Short chunks
                 would let one body consist of any number of chunks.
         """
         if len(chunk.body) < CHUNK_BYTES and not chunk.last:
-            raise FrameError(
+            raise CallError(
                 f'chunk of {len(chunk.body)} bytes before the last one'
             )
         if len(self._body) + len(chunk.body) > self.start.body_size:
-            raise FrameError('body exceeds its announced size')
+            raise CallError('body exceeds its announced size')
         self._body.add(chunk.body)
         self.progress_ms = self._account.now()
         return bool(chunk.last)
@@ -111,10 +111,10 @@
         """Return the complete body.
 
         Raises:
-            FrameError: fewer bytes than announced have arrived.
+            CallError: fewer bytes than announced have arrived.
         """
         if len(self._body) != self.start.body_size:
-            raise FrameError('body ends before its announced size')
+            raise CallError('body ends before its announced size')
         body = self._body
         self.close()
         return body
@@ -124,12 +124,12 @@
     """Return the body if the opening frame carries all of it, else None.
 
     Raises:
-        FrameError: the frame is the only one of the body, whose length
+        CallError: the frame is the only one of the body, whose length
             differs from the announced size.
     """
     if not start.last:
         return None
     if len(start.body) != start.body_size:
-        raise FrameError('body length differs from its announced size')
+        raise CallError('body length differs from its announced size')
     body: bytes = start.body
     return body
--- a/src/savorystand/transport/connection.py
+++ b/src/savorystand/transport/connection.py
@@ -20,6 +20,7 @@
 
 import anyio
 from expression import Error
+from logbook import Logger
 
 from savorystand.clock import MS_PER_SECOND
 from savorystand.clock import Clock
@@ -49,6 +50,7 @@
     from savorystand.transport.pending import PendingCall
     from savorystand.transport.writer import FrameObserver
 
+_log = Logger('savorystand')
 ControlCallback: TypeAlias = Callable[[Message], None]
 
 # Period of the timer that checks all connections for silence, and silence after
@@ -101,10 +103,11 @@
     ) -> None:
         """Create the client side; ``run`` attaches it to a byte stream.
 
-        Long bodies and queued frames count towards ``account``. ``on_load`` gets load reports. ``on_control`` gets control frames: all
-        frames that are no load report, no pong and no part of a response or
-        refusal. ``on_frame`` gets each frame that is sent or received, and its
-        encoded length.
+        Long bodies and queued frames count towards ``account``. ``on_load``
+        gets load reports. ``on_control`` gets control frames: all frames that
+        are no load report, no pong and no part of a response or refusal.
+        ``on_frame`` gets each frame that is sent or received, and its encoded
+        length.
         """
         self._clock = clock
         self._on_frame = on_frame
@@ -270,10 +273,15 @@
     def _handle_frame(self, frame: Message) -> None:
         if self._pending.handle_frame(frame):
             return
-        if frame.pong is None:
-            self._on_control(frame)
+        if frame.pong is not None:
+            self._pong_received.set()
             return
-        self._pong_received.set()
+        try:
+            self._on_control(frame)
+        except Exception:
+            # An error in one control frame must not end the calls that share
+            # its connection.
+            _log.exception('event=control_failed')
 
     def _fail_pending_calls(self) -> None:
         self.closed = True
--- a/src/savorystand/transport/conversion.py
+++ b/src/savorystand/transport/conversion.py
@@ -22,7 +22,7 @@
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
 from savorystand.verdict import Refusal
-from savorystand.wire.errors import FrameError
+from savorystand.wire.errors import CallError
 from savorystand.wire.gen.wire import ttypes
 
 if TYPE_CHECKING:
@@ -84,8 +84,8 @@
     """Return the call of an opening frame and its complete body.
 
     Raises:
-        FrameError: a text is too long or holds an invalid character, or the
-            importance rank is unknown.
+        CallError: a text is too long or holds an invalid character, a header
+            has no value, or the importance rank is unknown.
     """
     check_call(start)
     pool = start.pool or route.pool
@@ -121,7 +121,11 @@
 
 
 def decode_response(start: Message, body: Body) -> Response:
-    """Return the response of an opening frame and its complete body."""
+    """Return the response of an opening frame and its complete body.
+
+    Raises:
+        CallError: a header has no value.
+    """
     return Response(
         status=start.status,
         headers=_decode_headers(start.headers),
@@ -159,12 +163,12 @@
     """Return the refusal that a frame carries.
 
     Raises:
-        FrameError: the reason is not one of ``Reason``.
+        CallError: the reason is not one of ``Reason``.
     """
     try:
         reason = Reason(refused.reason)
     except ValueError as exc:
-        raise FrameError(
+        raise CallError(
             f'unknown reason {refused.reason!r} in a refusal'
         ) from exc
     if refused.rate_limited:
@@ -184,6 +188,8 @@
 
 
 def _decode_headers(texts: list[str]) -> Headers:
+    if len(texts) % 2:
+        raise CallError('the last header of a call or response has no value')
     return tuple(zip(texts[::2], texts[1::2], strict=True))
 
 
@@ -200,7 +206,7 @@
 def _decode_context(context: Message, now: float) -> CallContext:
     importance = _IMPORTANCES.get(context.rank)
     if importance is None:
-        raise FrameError(f'unknown importance rank {context.rank} in a call')
+        raise CallError(f'unknown importance rank {context.rank} in a call')
     return CallContext(
         request_id=context.request_id,
         execution_id=context.execution_id,
--- a/src/savorystand/transport/incoming_calls.py
+++ b/src/savorystand/transport/incoming_calls.py
@@ -6,6 +6,7 @@
 
 from savorystand.memory.buffer import HeldBuffer
 from savorystand.transport.assembly import BodyAssembly
+from savorystand.transport.assembly import complete_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,13 +35,18 @@
         """Return the number of incomplete bodies."""
         return len(self._assemblies)
 
-    def begin(self, start: Message, on_drop: Callable[[], None]) -> None:
-        """Begin to receive a body; ``on_drop`` is called if it gives way.
+    def begin(self, start: Message, on_drop: Callable[[], None]) -> Body | None:
+        """Begin to receive a body, and return it if it is complete.
+
+        ``on_drop`` is called if an incomplete one has to give way.
 
         Raises:
-            FrameError: the announced size is out of bounds.
+            CallError: the announced size is out of bounds.
             MemoryShortError: there is no room for the body.
         """
+        body = complete_body(start)
+        if body is not None:
+            return body
 
         def drop() -> None:  # noqa: WPS430 - belongs to this body
             self.forget(start.stream)
@@ -49,18 +55,29 @@
         self._assemblies[start.stream] = BodyAssembly(
             start=start, account=self._account, on_drop=drop
         )
+        return None
+
+    def __contains__(self, stream_id: int) -> bool:
+        """Return True if a body on that stream is incomplete."""
+        return stream_id in self._assemblies
+
+    def start_of(self, stream_id: int) -> Message | None:
+        """Return the opening frame of an incomplete body, if there is one."""
+        assembly = self._assemblies.get(stream_id)
+        return None if assembly is None else assembly.start
 
-    def add(self, chunk: Message) -> tuple[Message, Body] | None:
-        """Append a chunk; return opening frame and body if that completes it.
+    def add(self, chunk: Message) -> Body | None:
+        """Append a chunk of an incomplete body; return the body if complete.
 
         Raises:
-            FrameError: the body does not have its announced size.
+            CallError: the body does not have its announced size.
         """
-        assembly = self._assemblies.get(chunk.stream)
-        if assembly is None or not assembly.add(chunk):
+        assembly = self._assemblies[chunk.stream]
+        if not assembly.add(chunk):
             return None
+        body = assembly.joined_body()
         del self._assemblies[chunk.stream]
-        return assembly.start, assembly.joined_body()
+        return body
 
     def forget(self, stream_id: int) -> None:
         """Let go of an incomplete body, if there is one."""
--- a/src/savorystand/transport/pending.py
+++ b/src/savorystand/transport/pending.py
@@ -19,6 +19,7 @@
 from savorystand.verdict import MayHaveRun
 from savorystand.verdict import NotRun
 from savorystand.verdict import Reason
+from savorystand.wire.errors import CallError
 from savorystand.wire.errors import FrameError
 
 if TYPE_CHECKING:
@@ -123,18 +124,15 @@
         """Process a frame of a call or a load report; return False for others.
 
         Raises:
-            FrameError: the frame is inconsistent in itself or with earlier
-                frames.
+            FrameError: the frame is a refusal and something else at once.
         """
         if frame.refused is not None:
             _check_sole_member(frame)
             self.handle_refusal(frame.refused)
             return True
-        if frame.answer is not None:
-            self.start_response(frame.answer)
-            return True
-        if frame.chunk is not None:
-            self.add_chunk(frame.chunk)
+        part = frame.answer or frame.chunk
+        if part is not None:
+            self._handle_response(frame, part.stream)
             return True
         if frame.load_push is None:
             self._mark_begun(frame)
@@ -142,64 +140,18 @@
         self._on_load(decode_load_push(frame.load_push))
         return True
 
-    def start_response(self, start: Message) -> None:
-        """Process the opening frame of a response.
-
-        Raises:
-            FrameError: the announced body size is out of bounds or differs
-                from the length of a complete body.
-        """
-        pending = self._calls.get(start.stream)
-        if pending is None:
-            return
-        pending.begun = True
-        if not is_final_status(start.status):
-            detail = f'the peer passed on the invalid status {start.status}'
-            pending.give_up(Reason.TARGET_FAILED, detail)
-            return
-        body = complete_body(start)
-        if body is not None:
-            pending.finish(Answered(decode_response(start, body)))
-            return
-        try:
-            pending.assembly = BodyAssembly(
-                start=start,
-                account=self._account,
-                on_drop=pending.drop_response,
-            )
-        except MemoryShortError:
-            pending.drop_response()
-
-    def add_chunk(self, chunk: Message) -> None:
-        """Process a further chunk of a response.
-
-        Raises:
-            FrameError: the body does not have its announced size.
-        """
-        pending = self._calls.get(chunk.stream)
-        if pending is None:
-            return
-        pending.begun = True
-        assembly = pending.assembly
-        if assembly is None or pending.given_up:
-            return
-        if assembly.add(chunk):
-            response = decode_response(assembly.start, assembly.joined_body())
-            pending.finish(Answered(response))
-
     def handle_refusal(self, refused: Message) -> None:
-        """Process a refusal.
-
-        Raises:
-            FrameError: the reason is not one of ``Reason``.
-        """
+        """Process a refusal."""
         load = decode_refusal_load(refused)
         if load is not None:
             self._on_load(load)
         pending = self._calls.get(refused.stream)
         if pending is None:
             return
-        refusal = decode_refusal(refused)
+        try:
+            refusal = decode_refusal(refused)
+        except CallError as exc:
+            refusal = MayHaveRun(reason=Reason.TARGET_FAILED, detail=str(exc))
         if pending.begun:
             # The target runs once its response begins, whatever the peer says.
             refusal = MayHaveRun(
@@ -219,6 +171,40 @@
                 lost = verdict(reason=Reason.CONNECTION_LOST)
                 pending.finish(Error(lost))
 
+    def _handle_response(self, frame: Message, stream_id: int) -> None:
+        pending = self._calls.get(stream_id)
+        if pending is None:
+            return
+        pending.begun = True
+        try:
+            if frame.answer is None:
+                _add_chunk(pending, frame.chunk)
+            else:
+                self._start_response(pending, frame.answer)
+        except CallError as exc:
+            pending.close_assembly()
+            pending.give_up(
+                Reason.TARGET_FAILED, f'invalid response of the peer: {exc}'
+            )
+
+    def _start_response(self, pending: PendingCall, start: Message) -> None:
+        if not is_final_status(start.status):
+            detail = f'the peer passed on the invalid status {start.status}'
+            pending.give_up(Reason.TARGET_FAILED, detail)
+            return
+        body = complete_body(start)
+        if body is not None:
+            pending.finish(Answered(decode_response(start, body)))
+            return
+        try:
+            pending.assembly = BodyAssembly(
+                start=start,
+                account=self._account,
+                on_drop=pending.drop_response,
+            )
+        except MemoryShortError:
+            pending.drop_response()
+
     def _mark_begun(self, frame: Message) -> None:
         # A peer that calls or cancels on a stream of this end is faulty, and
         # its refusals of that stream are not believed.
@@ -228,6 +214,15 @@
                 pending.begun = True
 
 
+def _add_chunk(pending: PendingCall, chunk: Message) -> None:
+    assembly = pending.assembly
+    if assembly is None or pending.given_up:
+        return
+    if assembly.add(chunk):
+        response = decode_response(assembly.start, assembly.joined_body())
+        pending.finish(Answered(response))
+
+
 def _check_sole_member(frame: Message) -> None:
     # The decoder accepts a union with more than one member.
     others = (frame.call, frame.answer, frame.chunk, frame.cancel)
--- a/src/savorystand/transport/server.py
+++ b/src/savorystand/transport/server.py
@@ -12,7 +12,6 @@
 
 from savorystand.memory.account import MemoryAccount
 from savorystand.memory.errors import MemoryShortError
-from savorystand.transport.assembly import complete_body
 from savorystand.transport.connection import MAX_STREAMS
 from savorystand.transport.conversion import CHUNK_BYTES
 from savorystand.transport.conversion import decode_call
@@ -28,10 +27,12 @@
 from savorystand.verdict import refuse_undispatched
 from savorystand.wire.codec import FrameBuffer
 from savorystand.wire.codec import Message
+from savorystand.wire.errors import CallError
 from savorystand.wire.gen.wire import ttypes
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Callable
 
     from anyio.abc import ByteStream
 
@@ -105,43 +106,47 @@
 
     def _handle_bytes(self, received: bytes) -> None:
         for frame in self._frame_buffer.feed(received):
-            self._handle_call_frame(frame)
-
-    def _handle_call_frame(self, frame: Message) -> None:
-        if frame.call is not None:
-            self._receive_call(frame.call)
-        elif frame.chunk is not None:
-            completed = self._incoming.add(frame.chunk)
-            if completed is not None:
-                self._start_call(*completed)
-        elif frame.cancel is not None:
-            self._cancel(frame.cancel.stream)
-        else:
-            self._handle_control_frame(frame)
-
-    def _handle_control_frame(self, frame: Message) -> None:
-        if frame.ping is not None:
-            pong = ttypes.Pong(sequence=frame.ping.sequence)
-            self._writer.send(ttypes.Frame(pong=pong))
-            return
-        response = self._control.answer(frame)
-        if response is not None:
-            self._writer.send(response)
+            if frame.call is not None:
+                self._receive_call(frame.call)
+            elif frame.chunk is not None:
+                self._receive_chunk(frame.chunk)
+            elif frame.cancel is not None:
+                self._cancel(frame.cancel.stream)
+            else:
+                _answer_control(self._control, frame, self._writer)
 
     def _receive_call(self, start: Message) -> None:
-        stream_count = len(self._calls) + len(self._incoming)
-        if stream_count >= MAX_STREAMS or start.stream in self._calls:
+        if start.stream in self._calls or start.stream in self._incoming:
+            # The refusal ends the earlier call too, which may run.
+            self._cancel(start.stream)
+            self._refuse(start.stream, MayHaveRun(reason=Reason.INVALID_CALL))
+        elif len(self._calls) + len(self._incoming) >= MAX_STREAMS:
             self._refuse(start.stream, _undispatched(start, Reason.OVERLOADED))
-            return
-        body = complete_body(start)
-        if body is not None:
-            self._start_call(start, body)
-            return
-        refuse = partial(self._refuse, start.stream, _memory_refusal(start))
+        else:
+            drop = partial(self._refuse, start.stream, _memory_refusal(start))
+            self._start_when_complete(
+                start, partial(self._incoming.begin, start, drop)
+            )
+
+    def _receive_chunk(self, chunk: Message) -> None:
+        start = self._incoming.start_of(chunk.stream)
+        # The call may have been refused or cancelled.
+        if start is not None:
+            self._start_when_complete(start, partial(self._incoming.add, chunk))
+
+    def _start_when_complete(
+        self, start: Message, receive_body: Callable[[], Body | None]
+    ) -> None:
+        """Start a call if its body is complete, or refuse it alone."""
         try:
-            self._incoming.begin(start, refuse)
+            body = receive_body()
+            if body is not None:
+                self._start_call(start, body)
         except MemoryShortError:
-            refuse()
+            self._refuse(start.stream, _memory_refusal(start))
+        except CallError as exc:
+            self._incoming.forget(start.stream)
+            self._refuse(start.stream, _invalid_refusal(start, exc))
 
     def _cancel(self, stream_id: int) -> None:
         self._incoming.forget(stream_id)
@@ -161,11 +166,7 @@
             self._refuse(start.stream, _undispatched(start, Reason.NO_ROUTE))
             return
         call = decode_call(start, route, body, self._clock.now())
-        try:
-            self._incoming.count(start.stream, body)
-        except MemoryShortError:
-            self._refuse(start.stream, _memory_refusal(start))
-            return
+        self._incoming.count(start.stream, body)
         # An asyncio task costs a tenth of an anyio task, which has a cancel
         # scope.
         self._calls[start.stream] = self._clock.loop().create_task(
@@ -206,6 +207,24 @@
         self._writer.send(refusal_frame(refusal, stream_id, load))
 
 
+def _answer_control(
+    control: ControlResponder, frame: Message, writer: FrameWriter
+) -> None:
+    if frame.ping is not None:
+        pong = ttypes.Pong(sequence=frame.ping.sequence)
+        writer.send(ttypes.Frame(pong=pong))
+        return
+    try:
+        response = control.answer(frame)
+    except Exception:
+        # An error in one control frame must not end the calls that share its
+        # connection.
+        _log.exception('event=control_failed')
+        return
+    if response is not None:
+        writer.send(response)
+
+
 def _undispatched(start: Message, reason: Reason) -> Refusal:
     # The home node of the key has not looked it up yet, so that only a first
     # attempt is known to have no earlier run.
@@ -215,6 +234,10 @@
     )
 
 
+def _invalid_refusal(start: Message, exc: CallError) -> Refusal:
+    return replace(_undispatched(start, Reason.INVALID_CALL), detail=str(exc))
+
+
 def _memory_refusal(start: Message) -> Refusal:
     # Another node of the pool may have room.
     return replace(
--- a/src/savorystand/verdict.py
+++ b/src/savorystand/verdict.py
@@ -31,6 +31,8 @@
     TARGET_FAILED = 'target-failed'
     TARGET_REFUSED = 'target-refused'
     TOO_LARGE = 'too-large'
+    # A node cannot take a call as another one has passed it on.
+    INVALID_CALL = 'invalid-call'
 
 
 @final
--- a/src/savorystand/wire/codec.py
+++ b/src/savorystand/wire/codec.py
@@ -25,8 +25,9 @@
 # A struct of the generated module, which has no type hints.
 Message: TypeAlias = Any
 
-MAX_FRAME_BYTES = 65536
-MAX_HEADERS = 100
+# Holds the longest head of a call or response and a chunk of its body. A text
+# takes up to twice the bytes that it had in HTTP.
+MAX_FRAME_BYTES = 1048576
 _LENGTH_PREFIX = struct.Struct('!I')
 _DECODE_ERRORS = (
     EOFError,
@@ -94,11 +95,9 @@
     if frame.call is not None:
         require_fields(frame.call)
         require_fields(frame.call.context)
-        _check_headers(frame.call.headers)
     if frame.answer is not None:
         require_fields(frame.answer)
         require_fields(frame.answer.load)
-        _check_headers(frame.answer.headers)
     if frame.refused is not None:
         require_fields(frame.refused)
         if frame.refused.load is not None:
@@ -111,14 +110,6 @@
             require_fields(nested)
 
 
-def _check_headers(headers: list[str]) -> None:
-    count = len(headers) // 2
-    if count > MAX_HEADERS:
-        raise FrameError(f'{count} headers exceed the limit of {MAX_HEADERS}')
-    if count * 2 != len(headers):
-        raise FrameError('the last header of a call or response has no value')
-
-
 def encode_frame(frame: Message) -> bytes:
     """Return the encoded frame, including its length prefix.
 
