Log why a node closes a connection whose bytes it cannot decode

Cause: when a node closed a peer's connection for malformed bytes, its own log held no line; only the other end logged a lost connection, without the reason.

Change: the event connection-lost is written at the end that closes the connection, with what could not be decoded. The line for a fault in a control frame is named like other events.

Measured: test_malformed_bytes_of_a_peer_are_logged failed before (no line within 5 s) and passes now.

--- a/src/savorystand/reporting/events.py
+++ b/src/savorystand/reporting/events.py
@@ -34,16 +34,21 @@
     )
 
 
-def connection_lost(peer: PeerAddress, detail: str) -> Event:
-    """Return the event of a peer connection that closed or timed out."""
+def connection_lost(detail: str, peer: PeerAddress | None = None) -> Event:
+    """Return the event of a peer connection closed for malformed bytes.
+
+    ``peer`` is None if the peer has opened the connection.
+    """
+    extra = (
+        (('peer', peer.node_id), ('address', _host_and_port(peer)))
+        if peer
+        else ()
+    )
     return Event(
         name=EventName.CONNECTION_LOST,
         level=Level.WARNING,
-        detail=detail,
-        extra=(
-            ('peer', peer.node_id),
-            ('address', _host_and_port(peer)),
-        ),
+        detail=detail[:_MAX_PROBLEM_CHARS],
+        extra=extra,
     )
 
 
--- a/src/savorystand/transport/connection.py
+++ b/src/savorystand/transport/connection.py
@@ -29,6 +29,7 @@
 from savorystand.transport.conversion import call_frame
 from savorystand.transport.direct import pump
 from savorystand.transport.errors import STREAM_ERRORS
+from savorystand.transport.errors import describe_malformed
 from savorystand.transport.pending import PendingCalls
 from savorystand.transport.writer import FrameWriter
 from savorystand.verdict import MayHaveRun
@@ -90,6 +91,7 @@
         '_scope',
         '_writer',
         'closed',
+        'malformed',
     )
 
     def __init__(
@@ -120,6 +122,9 @@
         self._frame_buffer = FrameBuffer()
         self._scope = anyio.CancelScope()
         self.closed = False
+        # What of the peer's bytes could not be decoded, empty unless the
+        # connection was closed for it.
+        self.malformed = ''
 
     @property
     def in_flight(self) -> int:
@@ -137,7 +142,8 @@
                     tasks.start_soon(self._writer.run, stream)
                     await pump(stream, self._handle_bytes)
                     tasks.cancel_scope.cancel()
-        except* STREAM_ERRORS:
+        except* STREAM_ERRORS as errors:
+            self.malformed = describe_malformed(errors)
             # The code that awaits ``call`` gets the failure as the outcome.
             self.closed = True
         finally:
@@ -281,7 +287,7 @@
         except Exception:
             # An error in one control frame must not end the calls that share
             # its connection.
-            _log.exception('event=control_failed')
+            _log.exception('level=error event=control-failed')
 
     def _fail_pending_calls(self) -> None:
         self.closed = True
--- a/src/savorystand/transport/errors.py
+++ b/src/savorystand/transport/errors.py
@@ -22,3 +22,11 @@
     anyio.ClosedResourceError,
     FrameError,
 )
+
+
+def describe_malformed(errors: BaseExceptionGroup[Exception]) -> str:
+    """Return what could not be decoded, empty if the errors are others."""
+    malformed: BaseException | None = errors.subgroup(FrameError)
+    while isinstance(malformed, BaseExceptionGroup):
+        malformed = malformed.exceptions[0]
+    return str(malformed or '')
--- a/src/savorystand/transport/peers.py
+++ b/src/savorystand/transport/peers.py
@@ -12,6 +12,8 @@
 from savorystand.clock import Clock
 from savorystand.kernel.service import Service
 from savorystand.memory.account import find_memory
+from savorystand.reporting.events import connection_lost
+from savorystand.reporting.logs import EventLog
 from savorystand.transport.connecting import CONNECT_TIMEOUT_MS
 from savorystand.transport.connecting import PeerConnector
 from savorystand.transport.connection import PeerConnection
@@ -183,7 +185,7 @@
             account=self._account,
         )
         self._connections.replace(peer, conn)
-        self._tasks.start_soon(_run_contained, conn, stream)
+        self._tasks.start_soon(_run_contained, conn, stream, self._kernel, peer)
         return conn
 
     async def _call_when_connected(
@@ -208,19 +210,25 @@
         )
         self._inbound_connections.add(conn)
         try:
-            await _run_contained(conn, stream)
+            await _run_contained(conn, stream, self._kernel)
         finally:
             self._inbound_connections.discard(conn)
 
 
 async def _run_contained(
-    conn: PeerConnection | ServerConnection, stream: ByteStream
+    conn: PeerConnection | ServerConnection,
+    stream: ByteStream,
+    kernel: Kernel,
+    peer: PeerAddress | None = None,
 ) -> None:
     # An unexpected error costs one connection, not the node with all others.
     try:
         await conn.run(stream)
     except Exception:
         _log.exception('level=error event=peer-connection-failed')
+    if conn.malformed:
+        log = kernel.find('log', EventLog)
+        log.write(connection_lost(conn.malformed, peer))
 
 
 async def _connect(network: Network, peer: PeerAddress) -> ByteStream:
--- a/src/savorystand/transport/server.py
+++ b/src/savorystand/transport/server.py
@@ -19,6 +19,7 @@
 from savorystand.transport.conversion import response_frame
 from savorystand.transport.direct import pump
 from savorystand.transport.errors import STREAM_ERRORS
+from savorystand.transport.errors import describe_malformed
 from savorystand.transport.incoming_calls import IncomingCalls
 from savorystand.transport.writer import FrameWriter
 from savorystand.verdict import MayHaveRun
@@ -58,6 +59,7 @@
         '_incoming',
         '_calls',
         '_writer',
+        'malformed',
     )
 
     def __init__(
@@ -80,6 +82,9 @@
         self._writer = FrameWriter(account=account)
         self._incoming = IncomingCalls(account=account)
         self._calls: dict[int, asyncio.Task[None]] = {}
+        # What of the peer's bytes could not be decoded, empty unless the
+        # connection was closed for it.
+        self.malformed = ''
 
     async def run(self, stream: ByteStream) -> None:
         """Serve calls until the stream ends, then cancel those in progress."""
@@ -88,7 +93,8 @@
                 tasks.start_soon(self._writer.run, stream)
                 await pump(stream, self._handle_bytes)
                 tasks.cancel_scope.cancel()
-        except* STREAM_ERRORS:
+        except* STREAM_ERRORS as errors:
+            self.malformed = describe_malformed(errors)
             # The peer detects the loss itself and fails its pending calls.
             self._incoming.close()
         finally:
@@ -219,7 +225,7 @@
     except Exception:
         # An error in one control frame must not end the calls that share its
         # connection.
-        _log.exception('event=control_failed')
+        _log.exception('level=error event=control-failed')
         return
     if response is not None:
         writer.send(response)
--- a/tests/transport/test_containment.py
+++ b/tests/transport/test_containment.py
@@ -7,12 +7,15 @@
 
 import anyio
 import pytest
+from logbook import TestHandler as RecordingHandler
 
 from savorystand.clock import Clock
+from savorystand.clock import ManualClock
 from savorystand.kernel.kernel import Kernel
 from savorystand.lab.corpus.cases import Kind
 from savorystand.lab.corpus.samples import samples
 from savorystand.membership.datagrams import DatagramPort
+from savorystand.reporting.logs import EventLog
 from savorystand.transport.direct import DirectNetwork
 from savorystand.transport.peers import PeerTransport
 from savorystand.trust.datagram_authenticator import DatagramAuthenticator
@@ -67,6 +70,7 @@
     kernel.register('network', DirectNetwork())
     kernel.register('inbound', _Inbound())
     kernel.register('control', _FaultyControl())
+    kernel.register('log', EventLog(clock=ManualClock(), node_id='aa'))
     port = free_port()
     transport = PeerTransport(kernel=kernel, host='127.0.0.1', port=port)
     async with anyio.create_task_group() as tasks:
@@ -113,6 +117,26 @@
         await faulty.aclose()
 
 
+async def test_malformed_bytes_of_a_peer_are_logged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The log must tell why the calls on a connection ended together."""
+    async with _listening(monkeypatch) as port:
+        log_lines = RecordingHandler()
+        with log_lines.applicationbound():
+            conn = await anyio.connect_tcp('127.0.0.1', port)
+            await conn.send(b'\xff' * 8)
+            with anyio.fail_after(5), pytest.raises(anyio.EndOfStream):
+                await conn.receive()
+            await conn.aclose()
+            with anyio.fail_after(5):
+                while not log_lines.records:
+                    await anyio.sleep(0.001)
+        line = log_lines.records[0].message
+        assert 'event=connection-lost' in line
+        assert 'exceeds 1048576' in line
+
+
 async def test_error_in_one_datagram_leaves_the_others() -> None:
     """A fault while a datagram is handled must cost only that datagram."""
     authenticator = DatagramAuthenticator(admin_key='key')
