Strip white space after the value of a header

Seen by callers: 502 for a request whose Request-Id has a space at its end. The worker answers with the id without it, as RFC 9110, section 5.5, asks, and the node takes the answer for one to another request.

Cause: the HTTP parser strips white space before a value and leaves what follows.

Change: both are stripped, in requests and in answers.

Measured: test_white_space_around_an_id_is_no_part_of_it failed before, passes now.

--- a/src/savorystand/gateway/headers.py
+++ b/src/savorystand/gateway/headers.py
@@ -53,6 +53,15 @@
     return raw.decode('latin-1').lower()
 
 
+def header_value(raw: bytes) -> str:
+    """Return the value of a header as text, without white space around it.
+
+    The parser leaves white space at the end in place, which is not a part of
+    the value (RFC 9110, section 5.5).
+    """
+    return raw.decode('latin-1').strip(' \t')
+
+
 def forwarded_headers(headers: Headers) -> Headers:
     """Return the headers that are forwarded end to end."""
     return tuple(pair for pair in headers if pair[0] not in NOT_FORWARDED)
--- a/src/savorystand/gateway/incoming_request.py
+++ b/src/savorystand/gateway/incoming_request.py
@@ -7,6 +7,7 @@
 from savorystand.gateway.asgi import MAX_PATH_BYTES
 from savorystand.gateway.contexts import Request
 from savorystand.gateway.headers import header_name
+from savorystand.gateway.headers import header_value
 from savorystand.memory.account import HEADER_OBJECT_BYTES
 from savorystand.memory.buffer import HeldBuffer
 from savorystand.transport.bounds import MAX_HEAD_BYTES
@@ -76,7 +77,7 @@
         """Append a header, or only count it beyond the limit on headers."""
         self._header_bytes += len(name) + len(text)
         if self._header_bytes <= _max_header_bytes(limits):
-            self._headers.append((header_name(name), text.decode('latin-1')))
+            self._headers.append((header_name(name), header_value(text)))
 
     def complete_head(
         self, limits: CallerLimits, received_ms: float
--- a/src/savorystand/gateway/response_reader.py
+++ b/src/savorystand/gateway/response_reader.py
@@ -13,6 +13,7 @@
 from savorystand.call import is_final_status
 from savorystand.gateway.errors import TargetProtocolError
 from savorystand.gateway.headers import header_name
+from savorystand.gateway.headers import header_value
 from savorystand.memory.account import HEADER_OBJECT_BYTES
 from savorystand.memory.buffer import HeldBuffer
 from savorystand.memory.errors import MemoryShortError
@@ -146,7 +147,7 @@
         """Append a header."""
         if self.complete:
             return
-        self.headers.append((header_name(name), text.decode('latin-1')))
+        self.headers.append((header_name(name), header_value(text)))
         self._header_bytes += len(name) + len(text) + HEADER_OBJECT_BYTES
 
     def on_headers_complete(self) -> None:
--- a/tests/clients/test_limits.py
+++ b/tests/clients/test_limits.py
@@ -90,6 +90,16 @@
         deployment.check()
 
 
+async def test_white_space_around_an_id_is_no_part_of_it(
+    tmp_path: Path,
+) -> None:
+    """An answer must not count as that to another request for a space."""
+    async with running_deployment(tmp_path) as deployment:
+        for request_id in (' \tspaced', 'spaced \t', '  spaced  '):
+            head = await _send(deployment, request_id=request_id)
+            assert (_status(head), _answered_id(head)) == (200, 'spaced')
+
+
 async def test_requests_beyond_the_limits_are_refused(tmp_path: Path) -> None:
     """What exceeds the limits gets a refusal of its own."""
     async with running_deployment(tmp_path) as deployment:
