Send texts of any accepted length in the soak

Change: one request in five has a longer id with other characters, one in five up to 300 further headers, and so have the responses. They depend on the name of the request alone, so the schedule of a seed stays. A node that logs undecodable bytes is a violation.

--- a/src/savorystand/lab/soak/caller.py
+++ b/src/savorystand/lab/soak/caller.py
@@ -11,6 +11,8 @@
 from savorystand.clock import MS_PER_SECOND
 from savorystand.lab.soak.rules import DEADLINE_MS
 from savorystand.lab.soak.target import INSTANCE
+from savorystand.lab.soak.texts import extend_id
+from savorystand.lab.soak.texts import request_headers
 from savorystand.platform import headers as header_names
 
 if TYPE_CHECKING:
@@ -97,7 +99,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         """Send a request; return True if the connection can be used again."""
-        request_id = f'r-{self._node}-{next(_sequence)}'
+        request_id = extend_id(f'r-{self._node}-{next(_sequence)}')
         idempotent = self._rng.random() < 1 / 2
         self._history.begin(request_id, self._node, idempotent=idempotent)
         writer.write(_encode_request(request_id, idempotent=idempotent))
@@ -143,6 +145,7 @@
         f'{header_names.REQUEST_ID}: {request_id}',
         f'{header_names.DEADLINE}: {DEADLINE_MS}',
         'content-length: 0',
+        *[f'{name}: {text}' for name, text in request_headers(request_id)],
     ]
     return '\r\n'.join([*lines, '', '']).encode()
 
--- a/src/savorystand/lab/soak/history.py
+++ b/src/savorystand/lab/soak/history.py
@@ -15,6 +15,7 @@
 
 # Number of the store among the nodes that are disturbed.
 STORE = -1
+_MAX_LABEL_CHARS = 40
 
 
 @final
@@ -81,6 +82,11 @@
     status: int = 0
     is_genuine: bool = True
 
+    @property
+    def label(self) -> str:
+        """Return the start of its id, for a line of a report."""
+        return self.request_id[:_MAX_LABEL_CHARS]
+
     @property
     def pool(self) -> str:
         """Return the pool of its route."""
--- a/src/savorystand/lab/soak/rules.py
+++ b/src/savorystand/lab/soak/rules.py
@@ -77,7 +77,7 @@
 
 
 def _check_exchange(exchange: Exchange) -> Iterator[str]:
-    name = exchange.request_id
+    name = exchange.label
     if not exchange.is_genuine:
         yield f'foreign: {name} got bytes of another response'
     if exchange.runs > 1 and not exchange.idempotent:
@@ -111,7 +111,7 @@
 ) -> str:
     late_ms = round(exchange.sent_ms - since_ms)
     return (
-        f'leaving: {exchange.request_id} reached {arrival.instance}, '
+        f'leaving: {exchange.label} reached {arrival.instance}, '
         f'sent {late_ms} ms after its departure was {how}'
     )
 
@@ -164,7 +164,7 @@
         causes = _cut_causes(history, exchange)
         if causes is None or causes & _UNPLANNED:
             continue
-        line = f'cut: {exchange.request_id} had run and got no response'
+        line = f'cut: {exchange.label} had run and got no response'
         if causes:
             yield line
         else:
--- a/src/savorystand/lab/soak/run.py
+++ b/src/savorystand/lab/soak/run.py
@@ -16,6 +16,7 @@
 from savorystand.lab.soak.actions import draw_action
 from savorystand.lab.soak.history import History
 from savorystand.lab.soak.machine import Machine
+from savorystand.lab.soak.node_logs import log_violations
 from savorystand.lab.soak.performer import Performer
 from savorystand.lab.soak.probe import Probe
 from savorystand.lab.soak.rules import DEADLINE_MS
@@ -111,6 +112,7 @@
             self.report.violations = [
                 *violations(self._history),
                 *recovery_violations(self._history, calm_ms, end_ms),
+                *log_violations(self._directory),
             ]
             self.report.counts = counts(self._history)
 
--- a/src/savorystand/lab/soak/target.py
+++ b/src/savorystand/lab/soak/target.py
@@ -20,6 +20,7 @@
 from savorystand.lab.soak.target_messages import parse_head
 from savorystand.lab.soak.target_messages import read_limit
 from savorystand.lab.soak.target_messages import refusal_without_id
+from savorystand.lab.soak.texts import response_headers
 from savorystand.platform import headers as header_names
 
 if TYPE_CHECKING:
@@ -240,6 +241,7 @@
             (header_names.REQUEST_ID, head.request_id),
             (header_names.LOAD, f'{self._running},0,{SLOTS},100'),
             ('content-length', str(len(body))),
+            *response_headers(head.request_id),
             *extra,
         ]
         self._history.name_limit(self.life, read_limit(self.limit))
--- a/tests/lab/soak/test_rules.py
+++ b/tests/lab/soak/test_rules.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
 from savorystand.clock import ManualClock
@@ -12,8 +14,15 @@
 from savorystand.lab.soak.history import Cause
 from savorystand.lab.soak.history import ConfigurationChange
 from savorystand.lab.soak.history import History
+from savorystand.lab.soak.node_logs import log_violations
 from savorystand.lab.soak.rules import recovery_violations
 from savorystand.lab.soak.rules import violations
+from savorystand.lab.soak.texts import extend_id
+from savorystand.lab.soak.texts import request_headers
+from savorystand.tables.limits import CallerLimits
+
+if TYPE_CHECKING:
+    from pathlib import Path
 
 _LIFE = 'i-1.1'
 
@@ -71,6 +80,31 @@
     assert not soak.kinds()
 
 
+def test_undecodable_bytes_are_noticed(tmp_path: Path) -> None:
+    """A connection that a node closes ends the calls of many callers."""
+    log = tmp_path / 'node-1.log'
+    log.write_text('time=1 level=notice event=node-started node=a\n')
+    assert not log_violations(tmp_path)
+    log.write_text('time=1 level=warning event=connection-lost node=a\n')
+    assert len(log_violations(tmp_path)) == 1
+
+
+def test_texts_of_requests_vary_within_the_limits() -> None:
+    """A seed sends the same texts again, and no node may refuse them."""
+    names = [f'r-{number}' for number in range(200)]
+    request_ids = [extend_id(name) for name in names]
+    assert request_ids == [extend_id(name) for name in names]
+    assert all(map(str.startswith, request_ids, names))
+    headers = [request_headers(request_id) for request_id in request_ids]
+    assert max(map(len, request_ids)) > 1000
+    assert max(map(len, headers)) > 100
+    sizes = [
+        len(request_id) + len(''.join(name + text for name, text in pairs))
+        for request_id, pairs in zip(request_ids, headers, strict=True)
+    ]
+    assert max(sizes) < CallerLimits().header_bytes
+
+
 def test_false_outcomes_are_noticed() -> None:
     """Each kind of false outcome is a violation of its own."""
     for kind, runs, status, is_genuine in (
