Contain an answer to a control frame that is too long to send

Cause: the error of encoding it was raised beside the code that contains errors of control frames, and ended the connection with the calls on it.

Change: encoding is contained as well.

Measured: test_error_in_one_control_frame_leaves_its_connection[_LongControl] failed before, passes now.

--- a/src/savorystand/transport/server.py
+++ b/src/savorystand/transport/server.py
@@ -222,13 +222,12 @@
         return
     try:
         response = control.answer(frame)
+        if response is not None:
+            writer.send(response)
     except Exception:
         # An error in one control frame must not end the calls that share its
         # connection.
         _log.exception('level=error event=control-failed')
-        return
-    if response is not None:
-        writer.send(response)
 
 
 def _undispatched(start: Message, reason: Reason) -> Refusal:
--- a/tests/transport/test_containment.py
+++ b/tests/transport/test_containment.py
@@ -19,6 +19,7 @@
 from savorystand.transport.direct import DirectNetwork
 from savorystand.transport.peers import PeerTransport
 from savorystand.trust.datagram_authenticator import DatagramAuthenticator
+from savorystand.wire.codec import MAX_FRAME_BYTES
 from savorystand.wire.codec import encode_frame
 from savorystand.wire.gen.wire import ttypes
 from tests.ports import free_port
@@ -39,6 +40,13 @@
         raise RuntimeError('a fault of the control service')
 
 
+class _LongControl:
+    def answer(self, frame: Message) -> Message | None:
+        return ttypes.Frame(
+            leaving=ttypes.Leaving(node_id='a' * (MAX_FRAME_BYTES + 1))
+        )
+
+
 class _Inbound:
     """Serves no calls in this test."""
 
@@ -59,17 +67,20 @@
 
 
 @asynccontextmanager
-async def _listening(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[int]:
+async def _listening(
+    monkeypatch: pytest.MonkeyPatch,
+    control: type[_FaultyControl | _LongControl] = _FaultyControl,
+) -> AsyncIterator[int]:
     for name, double in (
         ('InboundHandler', _Inbound),
-        ('ControlResponder', _FaultyControl),
+        ('ControlResponder', control),
     ):
         monkeypatch.setattr(f'savorystand.transport.peers.{name}', double)
     kernel = Kernel()
     kernel.register('clock', Clock())
     kernel.register('network', DirectNetwork())
     kernel.register('inbound', _Inbound())
-    kernel.register('control', _FaultyControl())
+    kernel.register('control', control())
     kernel.register('log', EventLog(clock=ManualClock(), node_id='aa'))
     port = free_port()
     transport = PeerTransport(kernel=kernel, host='127.0.0.1', port=port)
@@ -81,14 +92,16 @@
         tasks.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize('control', [_FaultyControl, _LongControl])
 async def test_error_in_one_control_frame_leaves_its_connection(
+    control: type[_FaultyControl | _LongControl],
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A fault while a control frame is handled must cost only that frame.
 
     Calls share the connection with control frames.
     """
-    async with _listening(monkeypatch) as port:
+    async with _listening(monkeypatch, control) as port:
         other = await anyio.connect_tcp('127.0.0.1', port)
         faulty = await anyio.connect_tcp('127.0.0.1', port)
         await faulty.send(_LEAVING)
