Ignore announcements of pools that the tables do not name

Cause: an announcement was judged by its form alone. It took the place of the present target, recorded it as replaced, and its pool became the caller's service. The log showed which hypothesis held: target-changed with state=ready and the foreign pool, then source=replacement for the own worker.

Change: Announcements decides before anything is remembered whether the tables in force name the pool. If not, nothing changes, whatever the message says. Such a departure is not acknowledged, as it is not recorded; a worker that is ready is acknowledged and gets work with its next ping after its service is named.

Checks: the stand-ins of test_announcements.py and test_control.py name the pools that their tests use.

--- a/src/savorystand/dispatch/announcements.py
+++ b/src/savorystand/dispatch/announcements.py
@@ -2,45 +2,24 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
-from typing import final
 
 from savorystand.clock import Clock
 from savorystand.departures.announced import MAX_SILENCE_MS
 from savorystand.departures.departures import Departures
 from savorystand.departures.statements import DepartureStatements
+from savorystand.dispatch.early_announcements import EarlyAnnouncements
 from savorystand.dispatch.local_pool import LocalPool
 from savorystand.reporting.logs import EventLog
+from savorystand.reporting.logs import EventName
 from savorystand.reporting.target_events import announcement_ignored
 from savorystand.reporting.target_events import target_changed
-from savorystand.target_notice import Incarnation
+from savorystand.tables.holder import TablesHolder
 
 if TYPE_CHECKING:
+    from savorystand.dispatch.announcement import Announcement
     from savorystand.kernel.kernel import Kernel
-
-
-@final
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Announcement:
-    """What a target announces about itself.
-
-    ``instance`` and ``started_ms``, the wall time of its start, identify one
-    incarnation of the target; ``sequence`` increases with each announcement
-    of that incarnation. ``started_ms`` is 0 if the target does not say it.
-    """
-
-    instance: str
-    started_ms: int
-    sequence: int
-    pool: str
-    slots: int
-    leaving: bool
-
-    @property
-    def incarnation(self) -> Incarnation:
-        """Return the incarnation of the target that announces itself."""
-        return Incarnation(instance=self.instance, started_ms=self.started_ms)
+    from savorystand.tables.tables import Tables
 
 
 class Announcements:
@@ -49,16 +28,24 @@
     A delayed announcement, of this or of an earlier incarnation, must not
     return a target to service that has since left. ``Departures`` decides which
     incarnations have left.
+
+    Any process can send announcements. One of a pool that the tables in force
+    do not name has no effect, whatever else it says: it is that of another
+    writer, or of a target whose pool is named later and which goes on
+    announcing itself. Those that arrive before any tables are kept until the
+    first ones tell which pools there are.
     """
 
     __slots__ = (
         '_clock',
         '_departures',
+        '_early',
         '_kernel',
         '_last',
         '_last_ms',
         '_log',
         '_statements',
+        '_tables',
     )
 
     def __init__(self, *, kernel: Kernel) -> None:
@@ -73,12 +60,41 @@
         self._statements = DepartureStatements(
             clock=self._clock, departures=self._departures
         )
+        self._early = EarlyAnnouncements(clock=self._clock)
+        self._tables = kernel.find('tables', TablesHolder)
+        self._tables.add_observer(self._apply_early)
 
     def accept(self, announcement: Announcement) -> bool:
-        """Apply an announcement; return False if it is out of date.
+        """Apply an announcement; return False if it is ignored.
 
-        One that says that the target leaves holds even then.
+        One that says that the target leaves holds even if it is out of date.
         """
+        if not self._tables.current().revision:
+            self._early.add(announcement)
+            return False
+        if not self.is_named(announcement.pool):
+            self._log_ignored(announcement, 'the tables do not name its pool')
+            return False
+        return self._accept_named(announcement)
+
+    def is_named(self, pool: str) -> bool:
+        """Return True if the tables in force name a pool."""
+        return self._tables.current().pool(pool) is not None
+
+    def deregister(self, instance: str, started_ms: int | None = None) -> None:
+        """Record that an instance has left.
+
+        ``started_ms`` is the start time of the incarnation that has left, in
+        milliseconds since the Unix epoch, None if the target does not say it.
+        """
+        self._early.forget(instance)
+        self._statements.deregister(instance, started_ms)
+
+    def _apply_early(self, tables: Tables) -> None:
+        for announcement in self._early.take():
+            self.accept(announcement)
+
+    def _accept_named(self, announcement: Announcement) -> bool:
         last = self._last
         incarnation = announcement.incarnation
         if announcement.leaving:
@@ -88,9 +104,7 @@
         )
         reason = self._reason_to_ignore(announcement, in_order=in_order)
         if reason:
-            self._log.write(
-                announcement_ignored(incarnation, announcement.sequence, reason)
-            )
+            self._log_ignored(announcement, reason)
             return False
         self._last = announcement
         self._last_ms = self._clock.now()
@@ -102,13 +116,16 @@
             self._statements.replace(last.incarnation)
         return True
 
-    def deregister(self, instance: str, started_ms: int | None = None) -> None:
-        """Record that an instance has left.
-
-        ``started_ms`` is the start time of the incarnation that has left, in
-        milliseconds since the Unix epoch, None if the target does not say it.
-        """
-        self._statements.deregister(instance, started_ms)
+    def _log_ignored(self, announcement: Announcement, reason: str) -> None:
+        self._log.write_lazily(
+            EventName.ANNOUNCEMENT_IGNORED,
+            lambda: announcement_ignored(
+                announcement.incarnation,
+                announcement.pool,
+                announcement.sequence,
+                reason,
+            ),
+        )
 
     def _reason_to_ignore(
         self, announcement: Announcement, *, in_order: bool
--- a/src/savorystand/platform/control.py
+++ b/src/savorystand/platform/control.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from savorystand.departures.departures import Departures
-from savorystand.dispatch.announcements import Announcement
+from savorystand.dispatch.announcement import Announcement
 from savorystand.dispatch.announcements import Announcements
 from savorystand.gateway.asgi import UNREAD_ERRORS
 from savorystand.gateway.asgi import HttpResponse
@@ -127,17 +127,19 @@
         if announcement is None:
             self._log.write(announcement_refused(worker_id))
             return HttpResponse(status=_BAD_REQUEST)
-        self._kernel.find('announcements', Announcements).accept(announcement)
-        if announcement.leaving:
+        announcements = self._kernel.find('announcements', Announcements)
+        announcements.accept(announcement)
+        if not announcement.leaving:
+            return json_response({})
+        if announcements.is_named(announcement.pool):
             return await self._acknowledge_departure()
-        return json_response({})
+        return HttpResponse(status=_UNAVAILABLE)
 
     async def _acknowledge_departure(self) -> HttpResponse:
         departures = self._kernel.find('departures', Departures)
-        if await departures.wait_saved(_MAX_SAVE_MS):
-            return json_response({})
-        # The worker repeats its call.
-        return HttpResponse(status=_UNAVAILABLE)
+        saved = await departures.wait_saved(_MAX_SAVE_MS)
+        # Without an acknowledgement the worker repeats its call.
+        return json_response({}) if saved else HttpResponse(status=_UNAVAILABLE)
 
     def _decode_heartbeat(
         self, worker_id: str, body: bytes
@@ -156,8 +158,7 @@
         It is None if a field or the worker id is malformed, or if the address
         is not that of the local worker. Any process can send heartbeats.
 
-        Raises one of ``_DECODE_ERRORS`` if a field is missing or of a type that
-        cannot be compared.
+        Raises one of ``_DECODE_ERRORS`` for a missing or incomparable field.
         """
         fields.setdefault('born', 0)
         is_typed = all(
@@ -171,10 +172,9 @@
             and 0 <= fields['born'] <= MAX_NUMBER
             and fields['warmupLeftMs'] >= 0
         )
-        if not is_typed or not is_known or not is_in_range:
-            return None
         is_local = fields['address'] == self._worker_address
-        if not is_local or not is_pool_name(fields['service']):
+        is_valid = is_typed and is_known and is_in_range and is_local
+        if not is_valid or not is_pool_name(fields['service']):
             return None
         return Announcement(
             instance=worker_id,
--- a/src/savorystand/reporting/target_events.py
+++ b/src/savorystand/reporting/target_events.py
@@ -85,14 +85,15 @@
 
 
 def announcement_ignored(
-    incarnation: Incarnation, sequence: int, reason: str
+    incarnation: Incarnation, pool: str, sequence: int, reason: str
 ) -> Event:
-    """Return the event of an announcement that is out of date.
+    """Return the event of an announcement without effect.
 
-    ``reason`` tells what the node knows that is newer.
+    ``reason`` tells what the node knows that it contradicts.
     """
     return Event(
         name=EventName.ANNOUNCEMENT_IGNORED,
+        pool=pool,
         reason=reason,
         extra=(
             ('instance', incarnation.instance),
--- a/tests/dispatch/test_announcements.py
+++ b/tests/dispatch/test_announcements.py
@@ -14,10 +14,13 @@
 from savorystand.departures.departure import Departure
 from savorystand.departures.departures import Departures
 from savorystand.departures.statements import DepartureStatements
-from savorystand.dispatch.announcements import Announcement
+from savorystand.dispatch.announcement import Announcement
 from savorystand.dispatch.announcements import Announcements
 from savorystand.kernel.kernel import Kernel
 from savorystand.reporting.logs import EventLog
+from savorystand.tables.holder import TablesHolder
+from savorystand.tables.pool import Pool
+from savorystand.tables.tables import Tables
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -89,11 +92,23 @@
         kernel.register('local pool', self.pool)
         kernel.register('departures', self.departures)
         kernel.register('log', log)
+        self.tables = TablesHolder()
+        kernel.register('tables', self.tables)
+        self.install(1, 'refill')
         self.announcements = Announcements(kernel=kernel)
         self.statements = DepartureStatements(
             clock=self.clock, departures=self.departures
         )
 
+    def install(self, revision: int, *names: str) -> None:
+        """Install tables with pools of these names."""
+        pools = tuple(
+            [Pool(name=name, slots=1, connections=1) for name in names]
+        )
+        self.tables.install(
+            Tables(revision=revision, change_id='', routes=(), pools=pools)
+        )
+
     def announce_until_accepted(self, first: Announcement) -> float:
         """Send announcements at their interval; return the time they took."""
         started_ms = self.clock.now()
--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -17,7 +17,7 @@
 from savorystand.departures.departure import Departure
 from savorystand.departures.departure import DepartureSource
 from savorystand.departures.departures import Departures
-from savorystand.dispatch.announcements import Announcement
+from savorystand.dispatch.announcement import Announcement
 from savorystand.dispatch.announcements import Announcements
 from savorystand.kernel.kernel import Kernel
 from savorystand.platform.control import ControlEndpoints
@@ -48,6 +48,9 @@
         self.accepted.append(announcement)
         return True
 
+    def is_named(self, pool: str) -> bool:
+        return pool == _HEARTBEAT_FIELDS['service']
+
     def deregister(self, instance: str, started_ms: int | None = None) -> None:
         self.deregistered.append((instance, started_ms))
 
@@ -240,6 +243,21 @@
     assert statuses == [503, 200]
 
 
+# Guards against an acknowledged departure that no node remembers.
+@pytest.mark.parametrize(
+    ('state', 'status'), [('ready', 200), ('draining', 503)]
+)
+async def test_departure_from_an_unnamed_service_is_not_acknowledged(
+    state: str, status: int
+) -> None:
+    """It is not recorded; a worker that is ready gets its acknowledgement."""
+    node = _Node()
+    fields = {**_HEARTBEAT_FIELDS, 'state': state, 'service': 'depot-archive'}
+    body = json.dumps(fields).encode()
+    path = '/Instances.Heartbeat/i-1'
+    assert await node.request('POST', path, body) == status
+
+
 # Guards against announcements that wait for a store that is away.
 async def test_announcement_of_a_ready_worker_is_not_delayed() -> None:
     """It promises nothing that has to be saved."""
--- a/tests/platform/test_worker_notices.py
+++ b/tests/platform/test_worker_notices.py
@@ -16,7 +16,7 @@
 import pytest
 
 from savorystand.clock import ManualClock
-from savorystand.dispatch.announcements import Announcement
+from savorystand.dispatch.announcement import Announcement
 from savorystand.dispatch.announcements import Announcements
 from savorystand.dispatch.inbound import Inbound
 from savorystand.node import sidecar
