Send messages of other writers in the soak

Change: beside each target another process sends announcements with one field wrong in turn, under the target's instance or another, with later sequences and start times, ready or draining. A request whose caller's service is none of the soak's is a violation.

--- a/src/savorystand/lab/soak/actions.py
+++ b/src/savorystand/lab/soak/actions.py
@@ -9,8 +9,8 @@
 from typing import final
 
 from savorystand.lab.soak.crowd import Press
+from savorystand.lab.soak.fault import Fault
 from savorystand.lab.soak.link import LinkState
-from savorystand.lab.soak.target import Fault
 
 if TYPE_CHECKING:
     import random
--- a/src/savorystand/lab/soak/machine.py
+++ b/src/savorystand/lab/soak/machine.py
@@ -20,6 +20,7 @@
 from savorystand.lab.soak.darkness import dark_address
 from savorystand.lab.soak.history import Cause
 from savorystand.lab.soak.link import Link
+from savorystand.lab.soak.other_writer import OtherWriter
 from savorystand.lab.soak.target import Target
 from savorystand.platform.settings import PATH_VARIABLE
 from savorystand.settings.node import Address
@@ -66,6 +67,7 @@
         '_is_ready',
         '_killed',
         '_number',
+        '_other_writer',
         '_restarting',
         '_served',
         '_settings',
@@ -117,6 +119,12 @@
             clock=clock,
             rng=random.Random(f'{seed} target'),
         )
+        self._other_writer = OtherWriter(
+            target=self.target,
+            announcements=self.announcements,
+            clock=clock,
+            rng=random.Random(f'{seed} other writer'),
+        )
         self.link = Link(destination=self._address(_TARGET_PORT))
         settings = _TEMPLATE.substitute(
             place,
@@ -151,6 +159,7 @@
             server = await asyncio.start_server(serve, self._host, port)
             await stack.enter_async_context(server)
         tasks.start_soon(self.target.announce_always)
+        tasks.start_soon(self._other_writer.run)
         tasks.start_soon(self._watch)
         for number in range(callers):
             caller = Caller(
--- a/src/savorystand/lab/soak/performer.py
+++ b/src/savorystand/lab/soak/performer.py
@@ -9,12 +9,12 @@
 from savorystand.lab.soak import actions
 from savorystand.lab.soak.crowd import Press
 from savorystand.lab.soak.crowd import press
+from savorystand.lab.soak.fault import Fault
 from savorystand.lab.soak.history import STORE
 from savorystand.lab.soak.history import Cause
 from savorystand.lab.soak.link import LinkState
 from savorystand.lab.soak.rules import CONTACT_MS
 from savorystand.lab.soak.rules import DRAIN_MS
-from savorystand.lab.soak.target import Fault
 
 if TYPE_CHECKING:
     import random
@@ -180,7 +180,7 @@
         if kill:
             await self._machines[node].kill(self._rng.uniform(0, _DOWN_MS))
         await self._clock.sleep(self._rng.uniform(0, _MAX_LATE_MS))
-        await target.send_announcement(late_announcement)
+        await target.post(*late_announcement)
 
     def _acknowledge(self, life: str, *, accepted: bool) -> None:
         if accepted:
--- a/src/savorystand/lab/soak/target.py
+++ b/src/savorystand/lab/soak/target.py
@@ -5,15 +5,15 @@
 import asyncio
 import contextlib
 import json
-from enum import Enum
 from importlib import resources
 from string import Template
 from typing import TYPE_CHECKING
-from typing import final
+from typing import Any
 
 from savorystand.clock import MS_PER_SECOND
 from savorystand.lab.http_client import REQUEST_ERRORS
 from savorystand.lab.http_client import HttpClient
+from savorystand.lab.soak.fault import Fault
 from savorystand.lab.soak.target_messages import HEAD_END
 from savorystand.lab.soak.target_messages import PART
 from savorystand.lab.soak.target_messages import flood
@@ -50,25 +50,6 @@
 )
 
 
-@final
-class Fault(Enum):
-    """What a target does to some of its responses."""
-
-    NONE = 'none'
-    # An earlier response once more before the response.
-    REPEAT = 'repeat'
-    # The response once more, while the connection is idle or used again.
-    REPEAT_LATE = 'repeat-late'
-    # A refusal without request id before the response.
-    REPEAT_REFUSAL = 'repeat-refusal'
-    TRUNCATE = 'truncate'
-    ENDLESS_BODY = 'endless-body'
-    ENDLESS_HEAD = 'endless-head'
-    NONSENSE = 'nonsense'
-    REFUSE = 'refuse'
-    HANG = 'hang'
-
-
 class Target:
     """One target at one address, in one life after the other."""
 
@@ -152,12 +133,17 @@
 
     async def announce(self) -> bool:
         """Send an announcement; return True if the node has accepted it."""
-        return await self.send_announcement(self.next_announcement())
+        return await self.post(*self.next_announcement())
 
     def next_announcement(self) -> tuple[str, bytes]:
         """Return path and body of the next announcement."""
         self._sequence += 1
-        body = _TEMPLATE.substitute(
+        body = json.dumps(self.announcement_fields()).encode()
+        return f'/Instances.Heartbeat/{self.instance}', body
+
+    def announcement_fields(self) -> dict[str, Any]:
+        """Return the fields of the last announcement with the present state."""
+        text = _TEMPLATE.substitute(
             self._location,
             target=self._address.text(),
             slots=SLOTS,
@@ -165,11 +151,17 @@
             sequence=self._sequence,
             started_ms=self.started_ms,
         )
-        return f'/Instances.Heartbeat/{self.instance}', body.encode()
+        return dict(json.loads(text))
 
-    async def send_announcement(self, announcement: tuple[str, bytes]) -> bool:
-        """Send an announcement; return True if the node has accepted it."""
-        return await self._post(*announcement)
+    async def post(self, path: str, body: bytes) -> bool:
+        """Send a message to the node; return True if it has accepted it."""
+        try:
+            response = await self._announcements.send(
+                'POST', path, body=body, timeout_ms=_ANNOUNCE_TIMEOUT_MS
+            )
+        except REQUEST_ERRORS:
+            return False
+        return response.status == _OK
 
     async def deregister(self) -> bool:
         """Say goodbye; return True if the node has accepted it.
@@ -177,7 +169,7 @@
         The body may name the start of this life.
         """
         born = json.dumps({'born': self.started_ms}).encode()
-        return await self._post(
+        return await self.post(
             f'/Instances.Deregister/{self.instance}',
             self._rng.choice((b'', born)),
         )
@@ -216,6 +208,8 @@
             ran=not refused,
             pool=self._location['pool'],
         )
+        if head.caller not in POOLS:
+            self._history.unsolicited.append(f'of a caller {head.caller}')
         if refused:
             return self._encode(
                 head, '503 Refused', '', (header_names.NOT_RUN, '1')
@@ -291,15 +285,6 @@
     def _draw(self, fault: Fault) -> bool:
         return self.fault is fault and self._rng.random() < 1 / 2
 
-    async def _post(self, path: str, body: bytes) -> bool:
-        try:
-            response = await self._announcements.send(
-                'POST', path, body=body, timeout_ms=_ANNOUNCE_TIMEOUT_MS
-            )
-        except REQUEST_ERRORS:
-            return False
-        return response.status == _OK
-
 
 def _write_late(writer: asyncio.StreamWriter, response: bytes) -> None:
     if not writer.is_closing():
--- a/src/savorystand/lab/soak/target_messages.py
+++ b/src/savorystand/lab/soak/target_messages.py
@@ -24,6 +24,8 @@
 
     request_id: str
     expected: str
+    # Pool of the node at which the request began.
+    caller: str
     length: int
 
 
@@ -36,6 +38,7 @@
     return Head(
         request_id=headers.get(header_names.REQUEST_ID, ''),
         expected=headers.get(header_names.EXPECTED_INSTANCE, ''),
+        caller=headers.get(header_names.CALLER_SERVICE, ''),
         length=int(headers.get('content-length', 0)),
     )
 
